--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over our own sources, several at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files '*.cpp' ':!generated' |
+  xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>&1 |
+  { grep -vE 'warnings? generated|^Suppressed|^Use -header-filter|^$' || true; } >build/lint.txt
+if grep -qE 'error:|warning:' build/lint.txt; then
+  cat build/lint.txt
+  exit 1
+fi
+echo "clang-tidy: clean"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Installs packages, builds, and runs every test but the known-red ones.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+scripts/build.sh
+exclude=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
+if [ -n "$exclude" ]; then
+  echo "Known red, not run:"
+  cat KNOWN-RED.txt
+  exec ctest --test-dir build --output-on-failure --timeout 600 -E "^($exclude)\$"
+fi
+exec ctest --test-dir build --output-on-failure --timeout 600
--- /dev/null
+++ b/src/agent/WorkerClient.cpp
@@ -0,0 +1,72 @@
+#include "agent/WorkerClient.h"
+
+namespace baobabcove {
+
+namespace {
+
+constexpr Milliseconds CallPatience{1000};
+
+std::uint64_t leaseEnd(Instant Until) {
+  return static_cast<std::uint64_t>(Until.time_since_epoch().count());
+}
+
+class HttpWorker : public WorkerClient {
+public:
+  explicit HttpWorker(const std::string &Address) : Client(Address) {}
+
+  Expected<void> start(const platform::TaskOrder &Order) override {
+    platform::TaskStatus Reply;
+    return Client.callJson("/tasks/start", Order, Reply, CallPatience);
+  }
+
+  Expected<void> renew(const std::string &Id, Instant Until) override {
+    platform::TaskAction Action;
+    Action.set_id(Id);
+    Action.set_lease_until_ms(leaseEnd(Until));
+    platform::TaskStatus Reply;
+    return Client.callJson("/tasks/renew", Action, Reply, CallPatience);
+  }
+
+  Expected<void> stop(const std::string &Id) override {
+    platform::TaskAction Action;
+    Action.set_id(Id);
+    platform::TaskStatus Reply;
+    return Client.callJson("/tasks/stop", Action, Reply, CallPatience);
+  }
+
+  Expected<Milliseconds> checkpoint(const std::string &Id,
+                                    Milliseconds Patience) override {
+    platform::TaskAction Action;
+    Action.set_id(Id);
+    platform::TaskStatus Reply;
+    auto Done = Client.callJson("/tasks/checkpoint", Action, Reply, Patience);
+    if (!Done)
+      return tl::unexpected<Error>(Done.error());
+    return Milliseconds(Reply.progress_ms());
+  }
+
+  Expected<platform::WorkerReport> report() override {
+    HttpCall Call;
+    Call.Method = "GET";
+    Call.Path = "/tasks";
+    Call.Patience = CallPatience;
+    auto Answer = Client.call(Call);
+    if (!Answer)
+      return tl::unexpected<Error>(Answer.error());
+    platform::WorkerReport Report;
+    if (auto Read = fromJson(Answer->Body, Report); !Read)
+      return tl::unexpected<Error>(Read.error());
+    return Report;
+  }
+
+private:
+  HttpClient Client;
+};
+
+} // namespace
+
+std::unique_ptr<WorkerClient> makeHttpWorker(const std::string &Address) {
+  return std::make_unique<HttpWorker>(Address);
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/coordinator/Coordinator.cpp
@@ -0,0 +1,628 @@
+#include "coordinator/Coordinator.h"
+
+#include "base/Log.h"
+#include "base/StateDump.h"
+#include "coordinator/WireTypes.h"
+
+#include <algorithm>
+
+namespace baobabcove {
+
+namespace {
+
+constexpr std::size_t EventCapacity = 16384;
+constexpr std::size_t OrderCapacity = 4096;
+constexpr std::size_t ActorCount = 8;
+constexpr Milliseconds DecidePeriod{200};
+/// A new coordinator waits this long for the workers to answer.
+constexpr Milliseconds SettlePatience{3000};
+/// Reports made before a start was carried out may still be on their way.
+constexpr Milliseconds StartGrace{3000};
+constexpr Milliseconds NeverSettles{24 * 3600 * 1000};
+/// A stop whose end is not reported in time is ordered again.
+constexpr Milliseconds StopRepeat{2000};
+constexpr Milliseconds CleanupPeriod{5000};
+constexpr std::size_t MaxRemovals = 50;
+
+LossTimes lossTimes(const Settings &Of) {
+  LossTimes Times;
+  Times.Silence = Milliseconds(Of.WorkerSilenceMs);
+  Times.Autonomy = Milliseconds(Of.AutonomyMs);
+  Times.EntryFresh = Milliseconds(Of.MinionSilenceMs);
+  return Times;
+}
+
+} // namespace
+
+Coordinator::Coordinator(const Settings &Of, Store &Platform, RpcPeers &Peers,
+                         JobBook &Book, const Members &Known,
+                         ConfigurationKeeper &Keeper, Metrics &Figures)
+    : Of(Of), Platform(Platform), Book(Book), Known(Known), Keeper(Keeper),
+      Figures(Figures), Events(EventCapacity), Records(Book),
+      Actions(Peers, Book, Records), Losses(lossTimes(Of)),
+      Published(makeDump()) {
+  for (std::size_t I = 0; I < ActorCount; ++I)
+    Orders.push_back(std::make_unique<Ring<Action>>(OrderCapacity));
+  for (std::size_t I = 0; I < ActorCount; ++I)
+    Actors.emplace_back([this, I] { actLoop(I); });
+  Decider = std::thread([this] { decideLoop(); });
+}
+
+Coordinator::~Coordinator() {
+  Stopping = true;
+  Decider.join();
+  for (std::thread &Each : Actors)
+    Each.join();
+}
+
+void Coordinator::post(Event Happened) {
+  // A full ring drops the event; the loop then looks at everything anew.
+  if (!Events.tryPush(std::move(Happened)))
+    MissedEvents = true;
+}
+
+void Coordinator::act(const std::string &Name, Action Work) {
+  const std::size_t Index = std::hash<std::string>()(Name) % ActorCount;
+  if (!Orders[Index]->tryPush(std::move(Work)))
+    Figures.count("coordinator_orders_refused");
+}
+
+void Coordinator::roleChanged(Epoch Taken) { post(RoleEvent{Taken}); }
+
+void Coordinator::memberHeard(const wire::Heartbeat &Beat) {
+  if (Beat.kind() != wire::MINION)
+    post(BeatEvent{Beat});
+}
+
+void Coordinator::jobChanged(const StoredJob &Job) { post(JobEvent{Job}); }
+
+void Coordinator::configurationChanged() { post(ConfigurationEvent{}); }
+
+void Coordinator::actLoop(std::size_t Index) {
+  while (!Stopping)
+    if (auto Work = Orders[Index]->pop(DecidePeriod))
+      (*Work)();
+}
+
+void Coordinator::decideLoop() {
+  while (!Stopping) {
+    auto Happened = Events.pop(DecidePeriod);
+    bool Any = Happened.has_value();
+    while (Happened) {
+      std::visit([this](const auto &Each) { on(Each); }, *Happened);
+      Happened = Events.pop(Milliseconds(0));
+    }
+    const Instant Present = monotonicNow();
+    if (Now == Stage::Settling)
+      settleIfDone(Present);
+    if (Now == Stage::Deciding &&
+        (Any || Present - LastDecision >= DecidePeriod)) {
+      if (MissedEvents.exchange(false))
+        resync();
+      judgeLosses(Present);
+      decide(Present);
+      removeOldJobs(Present);
+    }
+    publish();
+  }
+}
+
+void Coordinator::on(const RoleEvent &Happened) {
+  Held = Happened.Held;
+  Gangs = GangTracker();
+  Workers.clear();
+  Scheduled.clear();
+  ToAdopt.clear();
+  Records.clear();
+  Policy.reset();
+  Now = Stage::Idle;
+  if (Held == Epoch())
+    return;
+  SchedulerOptions Options;
+  Options.Policy = Of.Policy;
+  Policy = std::make_unique<Scheduler>(Options);
+  Now = Stage::Listing;
+  StageSince = monotonicNow();
+  listEverything();
+  for (const auto &Each :
+       Known.alive(wire::WORKER, Milliseconds(Of.WorkerSilenceMs), StageSince))
+    askInventory(Each.Beat);
+}
+
+void Coordinator::listEverything() {
+  const Epoch For = Held;
+  act("list", [this, For] {
+    ListedEvent Listed;
+    Listed.For = For;
+    while (!Stopping) {
+      auto Jobs = Book.listThrough();
+      const auto Entries = Platform.list("entries/" + Of.Cell + "/");
+      if (!Jobs || !Entries) {
+        std::this_thread::sleep_for(DecidePeriod);
+        continue;
+      }
+      Listed.Jobs = std::move(*Jobs);
+      for (const StoreEntry &Each : Entries->Entries) {
+        wire::EntryRecord Entry;
+        if (Entry.ParseFromString(Each.Value))
+          Listed.Entries.insert(Entry.node());
+      }
+      break;
+    }
+    post(std::move(Listed));
+  });
+}
+
+void Coordinator::askInventory(const wire::Heartbeat &Beat) {
+  WorkerView &View = Workers[Beat.node()];
+  View = WorkerView();
+  View.Incarnation = Beat.incarnation();
+  View.HeardAt = monotonicNow();
+  View.Address = Beat.rpc_address();
+  View.Asked = true;
+  const Epoch For = Held;
+  act(Beat.node(), [this, For, Beat] {
+    InventoriedEvent Event;
+    Event.For = For;
+    Event.Beat = Beat;
+    const auto Reply = Actions.inventory(Beat.rpc_address(), For);
+    Event.Accepted = Reply.has_value();
+    if (Reply)
+      *Event.Beat.mutable_worker()->mutable_parts() = Reply->parts();
+    post(std::move(Event));
+  });
+}
+
+void Coordinator::on(const ListedEvent &Happened) {
+  if (Happened.For != Held || Now != Stage::Listing)
+    return;
+  ToAdopt = Happened.Jobs;
+  std::set<std::string> Others = Happened.Entries;
+  Others.erase(Of.Node);
+  Losses.begin(Others, monotonicNow());
+  Now = Stage::Settling;
+  StageSince = monotonicNow();
+}
+
+void Coordinator::on(const InventoriedEvent &Happened) {
+  if (Happened.For != Held || Now == Stage::Idle)
+    return;
+  WorkerView &View = Workers[Happened.Beat.node()];
+  if (View.Incarnation != Happened.Beat.incarnation())
+    return;
+  View.Asked = false;
+  View.Ready = Happened.Accepted;
+  if (!View.Ready)
+    return;
+  tellSchedulerOf(Happened.Beat);
+  if (Now == Stage::Deciding)
+    observeWorker(Happened.Beat);
+}
+
+void Coordinator::settleIfDone(Instant Present) {
+  const bool Waiting =
+      std::any_of(Workers.begin(), Workers.end(),
+                  [](const auto &Pair) { return Pair.second.Asked; });
+  // Right after a start of everything, workers take a moment to be heard.
+  const bool Patient = Present - StageSince < SettlePatience;
+  if (Patient && (Waiting || Workers.empty()))
+    return;
+  applyGuarantees();
+  for (const StoredJob &Job : ToAdopt)
+    adoptJob(Job);
+  ToAdopt.clear();
+  Now = Stage::Deciding;
+  LOG4CPLUS_INFO(logOf("coordinator"), "Deciding for " << Workers.size()
+                                                       << " workers, epoch "
+                                                       << Held << ".");
+  resync();
+}
+
+void Coordinator::adoptJob(const StoredJob &Job) {
+  const wire::JobRecord &Record = Job.Record;
+  if (hasEnded(Record) || !Scheduled.insert(Record.id()).second)
+    return;
+  const JobInfo Info = jobInfoOf(Record);
+  if (Record.state() == wire::QUEUED) {
+    Policy->jobQueued(Info, monotonicNow());
+  } else {
+    std::vector<Placement> Members;
+    TrackedGang Gang;
+    Gang.Job = Info.Id;
+    Gang.Number = Attempt(Record.attempt());
+    Gang.Kept = Milliseconds(Record.progress_ms());
+    Gang.SettledAt = monotonicNow();
+    for (const auto &Member : Record.members()) {
+      Members.push_back({NodeId(Member.node()), Member.tasks()});
+      Gang.Members.push_back(Member);
+    }
+    Gangs.add(Gang);
+    Policy->jobRunning(
+        Info, Gang.Number, Members, Record.borrowed(),
+        instantOf(std::max(Record.started_at_ms(), Record.submitted_at_ms())));
+  }
+  Policy->attemptUsed(Info.Id, Attempt(Record.attempt()),
+                      Milliseconds(Record.progress_ms()));
+  if (Record.cancel_requested())
+    Policy->jobCancelled(Info.Id, monotonicNow());
+}
+
+void Coordinator::applyGuarantees() {
+  const auto Present = Keeper.current();
+  Policy->setGuarantees(guaranteesOf(*Present));
+  Policy->setCompletionWeight(Present->CompletionWeight);
+}
+
+void Coordinator::on(const ConfigurationEvent &) {
+  if (Now == Stage::Deciding)
+    applyGuarantees();
+}
+
+void Coordinator::on(const JobEvent &Happened) {
+  if (Now != Stage::Deciding)
+    return;
+  // Events may overtake each other; the book has the newest record.
+  StoredJob Newest;
+  if (!Book.find(JobId(Happened.Job.Record.id()), Newest))
+    return;
+  const wire::JobRecord &Record = Newest.Record;
+  if (hasEnded(Record)) {
+    Scheduled.erase(Record.id());
+    return;
+  }
+  if (Scheduled.count(Record.id()) == 0) {
+    adoptJob(Newest);
+    return;
+  }
+  const JobId Id(Record.id());
+  if (Record.state() == wire::QUEUED)
+    Policy->attemptUsed(Id, Attempt(Record.attempt()),
+                        Milliseconds(Record.progress_ms()));
+  if (Record.cancel_requested())
+    Policy->jobCancelled(Id, monotonicNow());
+}
+
+void Coordinator::on(const BeatEvent &Happened) {
+  const wire::Heartbeat &Beat = Happened.Beat;
+  const Instant Present = monotonicNow();
+  if (Now == Stage::Idle)
+    return;
+  if (Beat.kind() == wire::ENTRY) {
+    Losses.hearEntry(Beat, Present);
+    return;
+  }
+  const auto Found = Workers.find(Beat.node());
+  if (Found == Workers.end() ||
+      Found->second.Incarnation < Beat.incarnation()) {
+    askInventory(Beat);
+    return;
+  }
+  WorkerView &View = Found->second;
+  if (Beat.incarnation() < View.Incarnation)
+    return;
+  View.HeardAt = Present;
+  if (!View.Ready && !View.Asked)
+    askInventory(Beat);
+  if (!View.Ready || Now != Stage::Deciding)
+    return;
+  tellSchedulerOf(Beat);
+  observeWorker(Beat);
+}
+
+void Coordinator::tellSchedulerOf(const wire::Heartbeat &Beat) {
+  Workers[Beat.node()].Listed = true;
+  Policy->workerSeen(workerInfoOf(Beat), monotonicNow());
+}
+
+void Coordinator::observeWorker(const wire::Heartbeat &Beat) {
+  const Instant Present = monotonicNow();
+  for (TrackedGang *Gang : Gangs.on(Beat.node()))
+    news(*Gang, Gangs.observe(*Gang, Beat, Present));
+  stopStrays(Beat);
+}
+
+void Coordinator::stopStrays(const wire::Heartbeat &Beat) {
+  for (const auto &Part : Gangs.strays(Beat)) {
+    if (Part.phase() == wire::RESERVED)
+      continue;
+    StopOrder Order;
+    Order.By = Held;
+    Order.Job = JobId(Part.job());
+    Order.Number = Attempt(Part.attempt());
+    Order.Forget = true;
+    wire::GangMember Member;
+    Member.set_node(Beat.node());
+    Member.set_rpc_address(Beat.rpc_address());
+    Order.Members.push_back(Member);
+    Figures.count("stray_parts_stopped");
+    act(Part.job(), [this, Order] { Actions.stop(Order); });
+  }
+}
+
+void Coordinator::news(TrackedGang &Gang, GangNews What) {
+  switch (What) {
+  case GangNews::Nothing:
+    break;
+  case GangNews::AllRunning:
+    gangRuns(Gang);
+    break;
+  case GangNews::Broken:
+    sendStop(Gang, false, Milliseconds(0));
+    break;
+  case GangNews::Ended:
+    gangEnded(Gang);
+    break;
+  }
+}
+
+void Coordinator::gangRuns(TrackedGang &Gang) {
+  Policy->gangStarted(Gang.Job, Gang.Number, monotonicNow());
+  const std::uint64_t Number = Gang.Number.value();
+  Records.record(Gang.Job,
+                 [Number](wire::JobRecord &Record) {
+                   if (Record.attempt() != Number ||
+                       Record.state() != wire::STARTING)
+                     return false;
+                   Record.set_state(wire::JOB_RUNNING);
+                   Record.set_may_have_run(true);
+                   Record.set_started_at_ms(wallClockMs());
+                   return true;
+                 },
+                 {});
+}
+
+void Coordinator::gangEnded(TrackedGang &Gang) {
+  recordEnd(Gang);
+  Policy->gangEnded(Gang.Job, Gang.Number, Gang.End, monotonicNow());
+  Figures.count("gangs_ended");
+}
+
+void Coordinator::recordEnd(const TrackedGang &Gang) {
+  const std::uint64_t Number = Gang.Number.value();
+  const GangEnd End = Gang.End;
+  const JobId Job = Gang.Job;
+  const Attempt Ended = Gang.Number;
+  Records.record(
+      Job,
+      [Number, End](wire::JobRecord &Record) {
+        if (Record.attempt() != Number || hasEnded(Record))
+          return false;
+        const bool Done = End.Result == GangResult::Succeeded;
+        Record.set_state(Done ? wire::DONE : wire::QUEUED);
+        Record.set_progress_ms(
+            static_cast<std::uint64_t>(End.Progress.count()));
+        Record.set_may_have_run(Record.may_have_run() || End.MayHaveRun);
+        if (Done)
+          Record.set_ended_at_ms(wallClockMs());
+        return true;
+      },
+      [this, Job, Ended] {
+        post(RecordedEvent{Job, Ended});
+      });
+}
+
+void Coordinator::on(const RecordedEvent &Happened) {
+  TrackedGang *Gang = Gangs.find(Happened.Job, Happened.Number);
+  if (!Gang || !Gang->Ended)
+    return;
+  StopOrder Order = stopOrderOf(*Gang);
+  Order.Forget = true;
+  act(Happened.Job.str(), [this, Order] { Actions.stop(Order); });
+  Gangs.erase(Happened.Job, Happened.Number);
+}
+
+void Coordinator::on(const StartedEvent &Happened) {
+  const StartOrder &Order = Happened.Order;
+  TrackedGang *Gang = Gangs.find(Order.Job, Order.Number);
+  if (Order.By != Held || !Gang)
+    return;
+  if (Happened.Outcome.MayRun) {
+    Gang->SettledAt = monotonicNow() + StartGrace;
+    return;
+  }
+  LOG4CPLUS_INFO(logOf("coordinator"), "Did not start "
+                                           << Order.Job << ": "
+                                           << Happened.Outcome.Reason.Detail);
+  Figures.count("starts_refused");
+  Gangs.erase(Order.Job, Order.Number);
+  Policy->gangRefused(Order.Job, Order.Number,
+                      NodeId(Happened.Outcome.Refusing), monotonicNow());
+  StoredJob Present;
+  if (Book.find(Order.Job, Present))
+    Policy->attemptUsed(Order.Job, Attempt(Present.Record.attempt()),
+                        Milliseconds(Present.Record.progress_ms()));
+}
+
+void Coordinator::decide(Instant Present) {
+  LastDecision = Present;
+  const auto Began = std::chrono::steady_clock::now();
+  const std::vector<Command> Commands = Policy->decide(Present);
+  const std::chrono::duration<double, std::micro> Took =
+      std::chrono::steady_clock::now() - Began;
+  Figures.sample("decision_us", Took.count());
+  for (const Command &Each : Commands)
+    std::visit([this](const auto &What) { carryOut(What); }, Each);
+}
+
+void Coordinator::carryOut(const StartGang &Start) {
+  StartOrder Order;
+  Order.By = Held;
+  Order.Job = Start.Job;
+  Order.Number = Start.Number;
+  Order.Borrowed = Start.Borrowed;
+  Order.Resume = Start.Resume;
+  for (const Placement &Each : Start.Members) {
+    const WorkerView &View = Workers[Each.Worker.str()];
+    wire::GangMember Member;
+    Member.set_node(Each.Worker.str());
+    Member.set_rpc_address(View.Address);
+    Member.set_incarnation(View.Incarnation);
+    Member.set_tasks(Each.Tasks);
+    Order.Members.push_back(Member);
+  }
+  TrackedGang Gang;
+  Gang.Job = Start.Job;
+  Gang.Number = Start.Number;
+  Gang.Members = Order.Members;
+  Gang.Kept = Start.Resume;
+  Gang.SettledAt = monotonicNow() + NeverSettles;
+  Gangs.add(std::move(Gang));
+  Figures.count("gangs_started");
+  act(Start.Job.str(), [this, Order] {
+    StartedEvent Event;
+    Event.Order = Order;
+    Event.Outcome = Actions.start(Order);
+    post(std::move(Event));
+  });
+}
+
+StopOrder Coordinator::stopOrderOf(const TrackedGang &Gang) const {
+  StopOrder Order;
+  Order.By = Held;
+  Order.Job = Gang.Job;
+  Order.Number = Gang.Number;
+  Order.Members = Gang.Members;
+  return Order;
+}
+
+void Coordinator::sendStop(TrackedGang &Gang, bool Checkpoint,
+                           Milliseconds Deadline) {
+  const Instant Present = monotonicNow();
+  if (Gang.StopSent && Present < Gang.StopAgainAt)
+    return;
+  Gang.StopSent = true;
+  Gang.StopAgainAt = Present + Deadline + StopRepeat;
+  StopOrder Order = stopOrderOf(Gang);
+  Order.Checkpoint = Checkpoint;
+  Order.Deadline = Deadline;
+  act(Gang.Job.str(), [this, Order] { Actions.stop(Order); });
+}
+
+void Coordinator::carryOut(const StopGang &Stop) {
+  LOG4CPLUS_INFO(logOf("coordinator"),
+                 "Stopping " << Stop.Job << ": " << stopReasonName(Stop.Reason)
+                             << ".");
+  Figures.count(std::string("stops_") + stopReasonName(Stop.Reason));
+  if (TrackedGang *Gang = Gangs.find(Stop.Job, Stop.Number))
+    sendStop(*Gang, Stop.Checkpoint, Stop.Deadline);
+}
+
+void Coordinator::carryOut(const EndJob &End) {
+  const std::uint32_t Code = static_cast<std::uint32_t>(End.Code);
+  const bool Cancelled = End.Code == ResultCode::JobCancelled;
+  const std::string Detail = End.Detail;
+  Records.record(End.Job,
+                 [Code, Cancelled, Detail](wire::JobRecord &Record) {
+                   if (hasEnded(Record))
+                     return false;
+                   Record.set_state(Cancelled ? wire::CANCELLED
+                                              : wire::JOB_FAILED);
+                   Record.set_code(Code);
+                   Record.set_detail(Detail);
+                   Record.set_ended_at_ms(wallClockMs());
+                   return true;
+                 },
+                 {});
+}
+
+void Coordinator::judgeLosses(Instant Present) {
+  for (const std::string &Entry : Losses.expired(Present)) {
+    Losses.forget(Entry);
+    const std::string Key = "entries/" + Of.Cell + "/" + Entry;
+    act(Key, [this, Key] {
+      const auto Found = Platform.read(Key);
+      if (Found && Found->Revision != 0)
+        (void)Platform.remove(Key, Found->Revision);
+    });
+  }
+  const Milliseconds Silence(Of.WorkerSilenceMs);
+  std::set<std::string> Holding;
+  for (const auto &[Name, Gang] : Gangs.all())
+    for (const auto &Member : Gang.Members)
+      if (!Gang.Ended)
+        Holding.insert(Member.node());
+  for (auto &[Node, View] : Workers) {
+    if (Present - View.HeardAt < Silence)
+      continue;
+    if (View.Listed) {
+      LOG4CPLUS_WARN(logOf("coordinator"), "Worker " << Node << " is silent.");
+      Policy->workerLost(NodeId(Node), Present);
+      View.Listed = false;
+    }
+  }
+  for (const auto &[Name, Gang] : Gangs.all())
+    if (Gang.StopSent && !Gang.Ended && Present >= Gang.StopAgainAt)
+      sendStop(*Gangs.find(Name.first, Attempt(Name.second)), false,
+               Milliseconds(0));
+  for (const std::string &Node : Holding) {
+    const auto View = Workers.find(Node);
+    const Instant Heard =
+        View == Workers.end() ? Instant() : View->second.HeardAt;
+    if (!Losses.isGone(Node, Heard, Present))
+      continue;
+    for (TrackedGang *Gang : Gangs.on(Node))
+      news(*Gang, Gangs.memberLost(*Gang, Node));
+  }
+}
+
+/// Looks at everything again, after events were missed or a role began.
+void Coordinator::resync() {
+  for (const StoredJob &Job : Book.all())
+    on(JobEvent{Job});
+  for (const auto &Each : Known.alive(
+           wire::WORKER, Milliseconds(Of.WorkerSilenceMs), monotonicNow()))
+    on(BeatEvent{Each.Beat});
+}
+
+void Coordinator::removeOldJobs(Instant Present) {
+  if (Present - LastCleanup < CleanupPeriod)
+    return;
+  LastCleanup = Present;
+  const std::int64_t Oldest =
+      wallClockMs() - std::int64_t(Of.JobRetentionS) * 1000;
+  std::vector<StoredJob> Old;
+  for (const StoredJob &Job : Book.all())
+    if (hasEnded(Job.Record) && Job.Record.ended_at_ms() < Oldest &&
+        Old.size() < MaxRemovals)
+      Old.push_back(Job);
+  if (Old.empty())
+    return;
+  act("cleanup", [this, Old] {
+    for (const StoredJob &Job : Old)
+      (void)Book.remove(JobId(Job.Record.id()), Job.Revision);
+  });
+}
+
+void Coordinator::publish() {
+  auto Out = makeDump();
+  static const char *const StageNames[] = {"idle", "listing", "settling",
+                                           "deciding"};
+  Out->set("stage", StageNames[static_cast<int>(Now)]);
+  Out->set("epoch", Held.value());
+  Out->set("events_waiting", Events.fill());
+  Out->set("events_capacity", Events.capacity());
+  Out->set("events_refused", Events.refused());
+  Out->set("records_waiting", Records.size());
+  Out->set("gangs", Gangs.all().size());
+  Out->set("workers_known", Workers.size());
+  if (Policy) {
+    const SchedulerFigures Numbers = Policy->figures();
+    Out->set("jobs_queued", Numbers.Queued);
+    Out->set("jobs_running", Numbers.Running);
+    Out->set("accelerators_free", Numbers.FreeAccelerators);
+    Out->set("accelerators", Numbers.TotalAccelerators);
+    Out->set("workers_quarantined", Numbers.Quarantined);
+    Out->set("guarantee_cells_unpackable", Numbers.UnpackableCells);
+    Out->set("reclaims", Numbers.Reclaims);
+    Out->set("compactions", Numbers.Compactions);
+  }
+  const std::lock_guard<std::mutex> Lock(DumpMutex);
+  Published = Out;
+}
+
+Poco::JSON::Object::Ptr Coordinator::dump() const {
+  const std::lock_guard<std::mutex> Lock(DumpMutex);
+  return Published;
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/entry/RequestApi.cpp
@@ -0,0 +1,169 @@
+#include "entry/RequestApi.h"
+
+#include "base/StateDump.h"
+#include "base/Text.h"
+
+#include <charconv>
+
+namespace baobabcove {
+
+namespace {
+
+constexpr std::uint32_t MaxDeadlineMs = 600000;
+constexpr std::size_t MaxKeyBytes = 200;
+
+bool isReadable(const std::string &Key) {
+  return Key.size() <= MaxKeyBytes &&
+         std::all_of(Key.begin(), Key.end(),
+                     [](unsigned char C) { return C > ' ' && C < 127; });
+}
+
+Expected<std::uint32_t> readDeadline(const std::string &Text,
+                                     std::uint32_t Default) {
+  if (Text.empty())
+    return Default;
+  std::uint32_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Value);
+  if (Read.ec != std::errc() || Read.ptr != End || Value == 0 ||
+      Value > MaxDeadlineMs)
+    return failure(ResultCode::MalformedRequest,
+                   "X-Deadline-Ms must be a whole number from 1 to " +
+                       std::to_string(MaxDeadlineMs) + ".");
+  return Value;
+}
+
+Expected<bool> readFlag(const std::string &Text, bool Default) {
+  if (Text.empty())
+    return Default;
+  if (Text == "true" || Text == "false")
+    return Text == "true";
+  return failure(ResultCode::MalformedRequest,
+                 "X-Idempotent must be true or false.");
+}
+
+} // namespace
+
+Expected<void> RequestApi::checkLimit(const std::string &Workspace) const {
+  const auto Present = Context.Keeper.current();
+  const auto Found = Present->Workspaces.find(Workspace);
+  if (Found == Present->Workspaces.end())
+    return failure(ResultCode::UnknownWorkspace,
+                   "There is no workspace " + Workspace + ".");
+  // The limit is for the deployment; each entry keeps its share of it.
+  const std::size_t Entries =
+      1 + Context.Known
+              .alive(wire::ENTRY, Milliseconds(Context.Of.MinionSilenceMs),
+                     monotonicNow())
+              .size();
+  const std::size_t Share = std::max<std::size_t>(
+      1, (Found->second.MaxRequests + Entries - 1) / Entries);
+  if (Context.Routes.pool().inFlight(Workspace) >= Share)
+    return failure(ResultCode::WorkspaceLimit,
+                   "The workspace has " + std::to_string(Share) +
+                       " requests under way here, as many as it may.");
+  return {};
+}
+
+Expected<RouteRequest> RequestApi::read(const HttpRequest &Request,
+                                        const std::string &Service,
+                                        const Identity &Sender) {
+  if (Sender.Workspace.empty())
+    return failure(ResultCode::WrongWorkspace,
+                   "Requests are sent with a workspace's token.");
+  const auto Present = Context.Keeper.current();
+  const auto Found = Present->Services.find(Service);
+  if (Found == Present->Services.end())
+    return failure(ResultCode::UnknownService,
+                   "There is no service " + Service + ".");
+  const auto Deadline =
+      readDeadline(Request.header("x-deadline-ms"), Found->second.DeadlineMs);
+  if (!Deadline)
+    return tl::unexpected<Error>(Deadline.error());
+  const auto Idempotent =
+      readFlag(Request.header("x-idempotent"), Found->second.Idempotent);
+  if (!Idempotent)
+    return tl::unexpected<Error>(Idempotent.error());
+  const std::string Key = Request.header("idempotency-key");
+  if (!isReadable(Key))
+    return failure(ResultCode::MalformedRequest,
+                   "Idempotency-Key must be at most " +
+                       std::to_string(MaxKeyBytes) +
+                       " printable characters without spaces.");
+  RouteRequest Result;
+  Result.Deadline = monotonicNow() + Milliseconds(*Deadline);
+  Result.Keyed = !Key.empty();
+  Result.Message.set_workspace(Sender.Workspace);
+  // A caller's own request id is only echoed: two callers may use the same.
+  Result.Message.set_request_id(Result.Keyed
+                                    ? Key
+                                    : "r~" + Context.Of.Node + "~" +
+                                          std::to_string(Context.Incarnation) +
+                                          "~" + std::to_string(NextNumber++));
+  Result.Message.set_service(Service);
+  Result.Message.set_body(Request.Body);
+  Result.Message.set_idempotent(*Idempotent);
+  Result.Message.set_content_type(Request.header("content-type"));
+  return Result;
+}
+
+HttpResponse RequestApi::send(const HttpRequest &Request,
+                              const std::string &Service) {
+  const auto Sender = identify(Request, *Context.Keeper.current());
+  if (!Sender)
+    return refusal(Sender.error());
+  const auto Read = read(Request, Service, *Sender);
+  if (!Read)
+    return refusal(Read.error());
+  if (auto Allowed = checkLimit(Sender->Workspace); !Allowed)
+    return refusal(Allowed.error());
+  const Instant Began = monotonicNow();
+  const wire::ExecuteReply Reply = Context.Routes.route(*Read);
+  Context.Figures.count("requests");
+  Context.Figures.sample("request_ms",
+                         static_cast<double>((monotonicNow() - Began).count()));
+  return answer(Reply, Request.header("x-request-id"));
+}
+
+HttpResponse RequestApi::answer(const wire::ExecuteReply &Reply,
+                                const std::string &RequestId) const {
+  const auto Code = static_cast<ResultCode>(Reply.code());
+  Context.Figures.count("outcome_" +
+                        std::string(outcomeName(resultInfo(Code).Ran)));
+  HttpResponse Response;
+  if (Code == ResultCode::Ok) {
+    Response.Status = static_cast<int>(Reply.http_status());
+    Response.Body = Reply.body();
+    Response.ContentType = Reply.content_type();
+    Response.Headers["X-Outcome"] = "answered";
+  } else {
+    Response = refusal(Code, Reply.detail());
+  }
+  if (!RequestId.empty())
+    Response.Headers["X-Request-Id"] = RequestId;
+  return Response;
+}
+
+HttpResponse RequestApi::ticket(const HttpRequest &Request,
+                                const std::string &Service) {
+  const auto Sender = identify(Request, *Context.Keeper.current());
+  if (!Sender)
+    return refusal(Sender.error());
+  if (Context.Keeper.current()->Services.count(Service) == 0)
+    return refusal(ResultCode::UnknownService,
+                   "There is no service " + Service + ".");
+  SlotRequest Wanted{
+      Service, Sender->Workspace, {}, monotonicNow() + Milliseconds(1000)};
+  const auto To = Context.Routes.pool().acquire(Wanted);
+  if (!To)
+    return refusal(To.error());
+  Context.Routes.pool().release(To->Beat.node(), Sender->Workspace,
+                                DeliveryMark::Refused, Milliseconds(0), -1);
+  auto Body = makeDump();
+  Body->set("ticket", KeyClaims::makeTicket(*To));
+  HttpResponse Response;
+  Response.Body = dumpText(Body);
+  return Response;
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/membership/Announcer.h
@@ -0,0 +1,80 @@
+/// \file
+/// Sends this process's heartbeats to the entries.
+
+#ifndef BAOBABCOVE_MEMBERSHIP_ANNOUNCER_H
+#define BAOBABCOVE_MEMBERSHIP_ANNOUNCER_H
+
+#include "baobabcove/Clock.h"
+#include "config/ConfigurationKeeper.h"
+#include "rpc/Rpc.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace baobabcove {
+
+/// Builds the heartbeat of this moment.
+using BeatSource = std::function<wire::Heartbeat()>;
+/// Hears each reply, and when the heartbeat it answers was sent.
+using ReplyListener =
+    std::function<void(const wire::HeartbeatReply &, Instant SentAt)>;
+
+/// One thread for each known entry sends a heartbeat a period, and at once
+/// after a nudge. Entries are learned from replies, so that the first
+/// addresses are needed only to begin with. A connection without an answer is
+/// replaced.
+class Announcer {
+public:
+  Announcer(RpcPeers &Peers, ConfigurationKeeper &Keeper, Milliseconds Period,
+            BeatSource Source, ReplyListener Listener);
+  ~Announcer();
+
+  /// Begins to announce to \p Address. A seed is never given up, another
+  /// entry is when it has not answered for long.
+  void add(const std::string &Address, bool Seed);
+
+  /// Sends the next heartbeats now.
+  void nudge();
+
+  /// Sends a last heartbeat to every entry and stops.
+  void stop();
+
+  /// Addresses of entries that answered lately.
+  std::vector<std::string> answering() const;
+
+private:
+  /// The line to one entry.
+  struct Line {
+    std::string Address;
+    Instant AnsweredAt;
+    std::thread Thread;
+    bool Seed = false;
+    bool Ended = false;
+  };
+
+  void run(Line &Mine);
+  bool beatOnce(Line &Mine);
+  void learn(const wire::HeartbeatReply &Reply, Instant SentAt);
+
+  RpcPeers &Peers;
+  ConfigurationKeeper &Keeper;
+  const Milliseconds Period;
+  const BeatSource Source;
+  const ReplyListener Listener;
+  mutable std::mutex Mutex;
+  std::condition_variable Wake;
+  std::map<std::string, std::unique_ptr<Line>> Lines;
+  std::uint64_t Nudges = 0;
+  bool Stopping = false;
+};
+
+} // namespace baobabcove
+
+#endif // BAOBABCOVE_MEMBERSHIP_ANNOUNCER_H
--- /dev/null
+++ b/src/rpc/RpcPeers.cpp
@@ -0,0 +1,139 @@
+#include "rpc/Rpc.h"
+#include "wire.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace baobabcove {
+
+namespace {
+
+constexpr int KeepAliveMs = 1000;
+constexpr int ReconnectMs = 200;
+constexpr int MaxReconnectMs = 1000;
+constexpr int MaxMessageBytes = 4 << 20;
+
+std::shared_ptr<grpc::Channel> openChannel(const std::string &Address) {
+  grpc::ChannelArguments Arguments;
+  Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepAliveMs);
+  Arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepAliveMs);
+  Arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  Arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  Arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectMs);
+  Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MaxReconnectMs);
+  Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaxReconnectMs);
+  // One connection for each channel, so that forgetting a channel really
+  // closes its connection.
+  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  // Retries are decided by the router alone, which knows what is idempotent.
+  Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  Arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  Arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
+  return grpc::CreateCustomChannel(Address, grpc::InsecureChannelCredentials(),
+                                   Arguments);
+}
+
+/// The channel reports this before it gives a call to any connection.
+bool wasNeverSent(const grpc::Status &Status) {
+  return Status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         Status.error_message().rfind("failed to connect", 0) == 0;
+}
+
+template <class Stub, class Request, class Reply>
+Expected<Reply> callPeer(Stub &Target,
+                         grpc::Status (Stub::*Method)(grpc::ClientContext *,
+                                                      const Request &, Reply *),
+                         const Request &Message, Milliseconds Patience) {
+  grpc::ClientContext Context;
+  Context.set_deadline(std::chrono::system_clock::now() + Patience);
+  Reply Answer;
+  const grpc::Status Status = (Target.*Method)(&Context, Message, &Answer);
+  if (!Status.ok())
+    return failure(wasNeverSent(Status) ? ResultCode::PeerNotConnected
+                                        : ResultCode::PeerUnreachable,
+                   Status.error_message());
+  return Answer;
+}
+
+} // namespace
+
+struct RpcPeers::Peer {
+  explicit Peer(const std::shared_ptr<grpc::Channel> &Channel)
+      : OfEntry(Channel), OfAgent(Channel) {}
+  wire::Entry::Stub OfEntry;
+  wire::Agent::Stub OfAgent;
+};
+
+RpcPeers::RpcPeers() = default;
+RpcPeers::~RpcPeers() = default;
+
+std::shared_ptr<RpcPeers::Peer> RpcPeers::peer(const std::string &Address) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  auto &Slot = Peers[Address];
+  if (!Slot)
+    Slot = std::make_shared<Peer>(openChannel(Address));
+  return Slot;
+}
+
+void RpcPeers::forget(const std::string &Address) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Peers.erase(Address);
+}
+
+Expected<wire::HeartbeatReply> RpcPeers::beat(const std::string &Address,
+                                              const wire::Heartbeat &Request,
+                                              Milliseconds Patience) {
+  return callPeer(peer(Address)->OfEntry, &wire::Entry::Stub::Beat, Request,
+                  Patience);
+}
+
+Expected<wire::ExecuteReply>
+RpcPeers::execute(const std::string &Address,
+                  const wire::ExecuteRequest &Request, Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Execute, Request,
+                  Patience);
+}
+
+Expected<wire::CommandReply>
+RpcPeers::reserve(const std::string &Address,
+                  const wire::ReserveRequest &Request, Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Reserve, Request,
+                  Patience);
+}
+
+Expected<wire::CommandReply> RpcPeers::start(const std::string &Address,
+                                             const wire::StartRequest &Request,
+                                             Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Start, Request,
+                  Patience);
+}
+
+Expected<wire::CommandReply> RpcPeers::renew(const std::string &Address,
+                                             const wire::RenewRequest &Request,
+                                             Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Renew, Request,
+                  Patience);
+}
+
+Expected<wire::CommandReply> RpcPeers::stop(const std::string &Address,
+                                            const wire::StopRequest &Request,
+                                            Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Stop, Request,
+                  Patience);
+}
+
+Expected<wire::InventoryReply>
+RpcPeers::inventory(const std::string &Address,
+                    const wire::InventoryRequest &Request,
+                    Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Inventory,
+                  Request, Patience);
+}
+
+Expected<wire::CommandReply> RpcPeers::drain(const std::string &Address,
+                                             const wire::DrainRequest &Request,
+                                             Milliseconds Patience) {
+  return callPeer(peer(Address)->OfAgent, &wire::Agent::Stub::Drain, Request,
+                  Patience);
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/rpc/RpcServer.cpp
@@ -0,0 +1,133 @@
+#include "rpc/Rpc.h"
+#include "wire.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace baobabcove {
+
+namespace {
+
+constexpr int MinPingIntervalMs = 300;
+constexpr int KeepAliveMs = 1000;
+constexpr int MaxMessageBytes = 4 << 20;
+
+class EntryService : public wire::Entry::Service {
+public:
+  explicit EntryService(EntryHandler *Handler) : Handler(Handler) {}
+
+  grpc::Status Beat(grpc::ServerContext *, const wire::Heartbeat *Request,
+                    wire::HeartbeatReply *Reply) override {
+    *Reply = Handler->beat(*Request);
+    return grpc::Status::OK;
+  }
+
+private:
+  EntryHandler *Handler;
+};
+
+class AgentService : public wire::Agent::Service {
+public:
+  explicit AgentService(AgentHandler *Handler) : Handler(Handler) {}
+
+  grpc::Status Execute(grpc::ServerContext *,
+                       const wire::ExecuteRequest *Request,
+                       wire::ExecuteReply *Reply) override {
+    *Reply = Handler->execute(*Request);
+    return grpc::Status::OK;
+  }
+  grpc::Status Reserve(grpc::ServerContext *,
+                       const wire::ReserveRequest *Request,
+                       wire::CommandReply *Reply) override {
+    *Reply = Handler->reserve(*Request);
+    return grpc::Status::OK;
+  }
+  grpc::Status Start(grpc::ServerContext *, const wire::StartRequest *Request,
+                     wire::CommandReply *Reply) override {
+    *Reply = Handler->start(*Request);
+    return grpc::Status::OK;
+  }
+  grpc::Status Renew(grpc::ServerContext *, const wire::RenewRequest *Request,
+                     wire::CommandReply *Reply) override {
+    *Reply = Handler->renew(*Request);
+    return grpc::Status::OK;
+  }
+  grpc::Status Stop(grpc::ServerContext *, const wire::StopRequest *Request,
+                    wire::CommandReply *Reply) override {
+    *Reply = Handler->stop(*Request);
+    return grpc::Status::OK;
+  }
+  grpc::Status Inventory(grpc::ServerContext *,
+                         const wire::InventoryRequest *Request,
+                         wire::InventoryReply *Reply) override {
+    *Reply = Handler->inventory(*Request);
+    return grpc::Status::OK;
+  }
+  grpc::Status Drain(grpc::ServerContext *, const wire::DrainRequest *Request,
+                     wire::CommandReply *Reply) override {
+    *Reply = Handler->drain(*Request);
+    return grpc::Status::OK;
+  }
+
+private:
+  AgentHandler *Handler;
+};
+
+class GrpcServer : public RpcServer {
+public:
+  GrpcServer(EntryHandler *EntrySide, AgentHandler *AgentSide)
+      : OfEntry(EntrySide), OfAgent(AgentSide), HasEntry(EntrySide),
+        HasAgent(AgentSide) {}
+
+  ~GrpcServer() override { shutdown(Milliseconds(0)); }
+
+  bool listen(const std::string &Wanted) {
+    grpc::ServerBuilder Builder;
+    int Port = 0;
+    Builder.AddListeningPort(Wanted, grpc::InsecureServerCredentials(), &Port);
+    Builder.SetMaxReceiveMessageSize(MaxMessageBytes);
+    Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepAliveMs);
+    Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepAliveMs);
+    Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    Builder.AddChannelArgument(
+        GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+        MinPingIntervalMs);
+    Builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+    if (HasEntry)
+      Builder.RegisterService(&OfEntry);
+    if (HasAgent)
+      Builder.RegisterService(&OfAgent);
+    Server = Builder.BuildAndStart();
+    Bound = Wanted.substr(0, Wanted.rfind(':') + 1) + std::to_string(Port);
+    return Server && Port != 0;
+  }
+
+  std::string address() const override { return Bound; }
+
+  void shutdown(Milliseconds Patience) override {
+    if (Server)
+      Server->Shutdown(std::chrono::system_clock::now() + Patience);
+  }
+
+private:
+  EntryService OfEntry;
+  AgentService OfAgent;
+  const bool HasEntry;
+  const bool HasAgent;
+  std::unique_ptr<grpc::Server> Server;
+  std::string Bound;
+};
+
+} // namespace
+
+Expected<std::unique_ptr<RpcServer>> serveRpc(const std::string &Address,
+                                              EntryHandler *EntrySide,
+                                              AgentHandler *AgentSide) {
+  auto Server = std::make_unique<GrpcServer>(EntrySide, AgentSide);
+  if (!Server->listen(Address))
+    return failure(ResultCode::SettingsInvalid,
+                   "Cannot listen on " + Address + ".");
+  return Server;
+}
+
+} // namespace baobabcove
