--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -20,7 +20,7 @@
       {C::MethodNotAllowed, "MethodNotAllowed", NotRun, 405,
        "Use the method that the README names for this path."},
       {C::HeadersTooLarge, "HeadersTooLarge", NotRun, 431,
-       "Send at most 64 headers."},
+       "Send at most 100 headers of 8 KiB."},
       {C::MissingToken, "MissingToken", NotRun, 401,
        "Send the header Authorization: Bearer TOKEN."},
       {C::WrongToken, "WrongToken", NotRun, 401,
--- a/src/cli/CtlCommand.cpp
+++ b/src/cli/CtlCommand.cpp
@@ -230,6 +230,7 @@
     if (!Kind.empty() && cell(Item, "kind") != Kind)
       continue;
     std::vector<std::string> Row;
+    Row.reserve(Columns.size());
     for (const std::string &Name : Columns)
       Row.push_back(column(Item, Name));
     Rows.push_back(Row);
--- a/src/entry/JobBook.cpp
+++ b/src/entry/JobBook.cpp
@@ -109,7 +109,7 @@
   }
   if (Written.error().Code == ResultCode::StoreUnavailable)
     return tl::unexpected<Error>(Written.error());
-  const auto Present = readThrough(JobId(Fresh.id()));
+  auto Present = readThrough(JobId(Fresh.id()));
   if (!Present) {
     // Neither the write nor the reading back has told anything.
     if (Written.error().Code == ResultCode::CompareFailed)
@@ -163,7 +163,7 @@
                                       std::int64_t Revision) {
   const std::string Key = keyOf(JobId(Record.id()));
   const std::string Value = Record.SerializeAsString();
-  const auto Written = Platform.swap(Key, Revision, Value, 0);
+  auto Written = Platform.swap(Key, Revision, Value, 0);
   if (Written) {
     take({Key, Value, *Written});
     return Written;
--- a/src/entry/KeyClaims.cpp
+++ b/src/entry/KeyClaims.cpp
@@ -42,7 +42,7 @@
   const Instant Now = monotonicNow();
   if (Lease != 0 && Now - LeaseFrom < Ttl / LeasesPerTtl)
     return Lease;
-  const auto Granted = Platform.grantLease(Ttl);
+  auto Granted = Platform.grantLease(Ttl);
   if (!Granted)
     return Granted;
   Lease = *Granted;
--- a/src/scheduler/Cluster.cpp
+++ b/src/scheduler/Cluster.cpp
@@ -177,6 +177,7 @@
   }
   const auto Values = [](std::map<std::string, Group> &From) {
     std::vector<Group> Groups;
+    Groups.reserve(From.size());
     for (auto &[Name, Together] : From)
       Groups.push_back(std::move(Together));
     return Groups;
--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -97,7 +97,7 @@
 }
 
 void Scheduler::Core::jobRunning(const JobInfo &Info, Attempt Number,
-                                 const std::vector<class Placement> &Members,
+                                 const std::vector<struct Placement> &Members,
                                  bool Borrowed, Instant Started) {
   auto Found = std::make_unique<Job>();
   Found->Info = Info;
--- a/standins/ProxyMain.cpp
+++ b/standins/ProxyMain.cpp
@@ -50,8 +50,8 @@
 /// Carries one direction of one connection.
 class Pump {
 public:
-  Pump(Poco::Net::StreamSocket From, Poco::Net::StreamSocket To)
-      : From(std::move(From)), To(std::move(To)) {}
+  Pump(const Poco::Net::StreamSocket &From, const Poco::Net::StreamSocket &To)
+      : From(From), To(To) {}
 
   /// Moves what is there; returns false when the direction has ended.
   bool move() {
--- a/standins/WorkerMain.cpp
+++ b/standins/WorkerMain.cpp
@@ -140,9 +140,7 @@
     const bool Running = Of.State == "running";
     if (Request.Path == "/tasks/renew" && Running)
       Of.Lease = leaseEnd(Action.lease_until_ms());
-    else if (Request.Path == "/tasks/stop" && Running)
-      end(Action.id(), Of, "stopped");
-    else if (Request.Path == "/tasks/checkpoint" && Running)
+    else if (Running)
       end(Action.id(), Of, "stopped");
     else if (Request.Path == "/tasks/checkpoint")
       return status("{}", 409);
