--- a/include/baobabcove/Scheduler.h
+++ b/include/baobabcove/Scheduler.h
@@ -140,11 +140,13 @@
   /// Weight of completion time against fragmentation, from 0 to 1.
   double CompletionWeight = 0.5;
   /// Time a gang may take to write a checkpoint before it is stopped.
-  Milliseconds CheckpointDeadline{20000};
+  Milliseconds CheckpointDeadline{25000};
+  /// The same when nothing hurries, as for compaction.
+  Milliseconds PatientCheckpointDeadline{600000};
   /// The same when urgent work waits for the accelerators.
   Milliseconds UrgentCheckpointDeadline{1200};
   /// A job that has waited this long goes before all that has not.
-  Milliseconds AgeLimit{4 * 3600 * 1000};
+  Milliseconds AgeLimit{10 * 3600 * 1000};
   /// Run time lost by a stop and restart, as the compaction reckons it.
   Milliseconds RestartCost{30000};
 };
--- a/src/scheduler/Cluster.cpp
+++ b/src/scheduler/Cluster.cpp
@@ -157,6 +157,18 @@
 void Cluster::rebuildGroups() {
   Present = group(false);
   Known = group(true);
+  RackOf.assign(Workers.size(), 0);
+  for (std::size_t Rack = 0; Rack < Present.Racks.size(); ++Rack)
+    for (WorkerIndex I : Present.Racks[Rack])
+      RackOf[I] = Rack;
+}
+
+std::int64_t Cluster::freeInRack(WorkerIndex Index) const {
+  std::int64_t Free = 0;
+  for (WorkerIndex I : Present.Racks[RackOf[Index]])
+    if (Workers[I].usable())
+      Free += std::max<std::int64_t>(0, Workers[I].Free.Accelerators);
+  return Free;
 }
 
 Cluster::Levels Cluster::group(bool WithAbsent) const {
--- a/src/scheduler/Cluster.h
+++ b/src/scheduler/Cluster.h
@@ -106,6 +106,13 @@
   const std::vector<Group> &knownGroups(Adjacency Near) const;
 
   /// Tasks of \p Need that a worker holds when it is empty.
+  /// The present workers of a worker's rack.
+  const Group &rackOf(WorkerIndex Index) const {
+    return Present.Racks[RackOf[Index]];
+  }
+  /// Free accelerators on the usable workers of a worker's rack.
+  std::int64_t freeInRack(WorkerIndex Index) const;
+
   static std::uint32_t tasksWhenEmpty(const Worker &Which, const Demand &Need);
 
   std::uint64_t totalAccelerators() const;
@@ -128,6 +135,8 @@
 
   std::vector<Worker> Workers;
   std::unordered_map<NodeId, WorkerIndex> ById;
+  /// Position of each worker's rack among the present racks.
+  std::vector<std::size_t> RackOf;
   Levels Present;
   Levels Known;
 };
--- a/src/scheduler/Guarantees.cpp
+++ b/src/scheduler/Guarantees.cpp
@@ -10,6 +10,8 @@
 constexpr std::uint32_t DefaultWorkerSize = 8;
 /// Locations of one cell whose packing is tried before the choice is given up.
 constexpr std::size_t MaxLocations = 24;
+/// More than the accelerators of any rack.
+constexpr std::uint64_t RackScale = 1 << 20;
 
 std::uint32_t nextPowerOfTwo(std::uint32_t Number) {
   std::uint32_t Power = 1;
@@ -275,12 +277,26 @@
   const Adjacency Spread =
       Which.Size <= workerSize() ? Adjacency::SameWorker : Which.Near;
   if (width(Spread) > width(Need.Near))
-    return false;
+    return Need.Near == Adjacency::SameWorker && partFor(Which, Need) >= 0;
   const std::uint32_t Tasks = tasksInCell(Which, Need);
   // A gang that must lie together uses one cell; others may use several.
   return Need.Near == Adjacency::Any ? Tasks > 0 : Tasks >= Need.Tasks;
 }
 
+/// The fullest part of a wide cell that holds the whole gang, or -1.
+int Guarantees::partFor(const Cell &Which, const Demand &Need) const {
+  int Best = -1;
+  std::uint32_t BestTasks = 0;
+  for (std::uint32_t Part = 0; Part < parts(Which); ++Part) {
+    const std::uint32_t Tasks = tasksOnPart(Which, Part, Need);
+    if (Tasks < Need.Tasks || (Best >= 0 && Tasks >= BestTasks))
+      continue;
+    Best = static_cast<int>(Part);
+    BestTasks = Tasks;
+  }
+  return Best;
+}
+
 bool Guarantees::withinShare(const Demand &Need) const {
   for (const Worker &Each : Workers.workers()) {
     if (!Each.Present)
@@ -309,17 +325,12 @@
                        return LeftBound;
                      return Cells[L].Size < Cells[R].Size;
                    });
-  std::vector<CellIndex> Picked;
   std::uint32_t Tasks = 0;
-  for (CellIndex Index : Fitting) {
-    if (Tasks >= Need.Tasks)
-      break;
-    Picked.push_back(Index);
+  for (CellIndex Index : Fitting)
     Tasks += tasksInCell(Cells[Index], Need);
-  }
   if (Tasks < Need.Tasks)
-    Picked.clear();
-  return Picked;
+    Fitting.clear();
+  return Fitting;
 }
 
 bool Guarantees::covers(const WorkspaceId &Workspace,
@@ -331,6 +342,12 @@
                                        const Demand &Need,
                                        std::uint32_t Tasks) const {
   std::vector<Member> Members;
+  if (Need.Near == Adjacency::SameWorker) {
+    const int Part = partFor(Which, Need);
+    if (Part >= 0)
+      Members.push_back({Bound[static_cast<std::size_t>(Part)], Tasks});
+    return Members;
+  }
   for (std::size_t Part = 0; Part < Bound.size() && Tasks > 0; ++Part) {
     const std::uint32_t Here = std::min(Tasks, tasksOnPart(Which, Part, Need));
     if (Here == 0)
@@ -341,6 +358,15 @@
   return Members;
 }
 
+/// What a worker and then its rack would have left over; a nearly full worker
+/// in a nearly full rack keeps the larger pieces whole.
+std::uint64_t Guarantees::leftover(WorkerIndex Index, const Room &Free) const {
+  std::uint64_t InRack = 0;
+  for (WorkerIndex I : Workers.rackOf(Index))
+    InRack += Free[I];
+  return std::uint64_t(Free[Index]) * RackScale + InRack;
+}
+
 std::vector<Guarantees::Location>
 Guarantees::narrowLocations(const Cell &Which, const Room &Free,
                             std::uint32_t Tasks,
@@ -351,7 +377,7 @@
       continue;
     const double Loss = Cost(I, Tasks);
     if (Loss >= 0)
-      Found.push_back({{I}, Loss, Free[I] - Which.Size});
+      Found.push_back({{I}, Loss, leftover(I, Free) - Which.Size});
   }
   return Found;
 }
@@ -435,23 +461,30 @@
   std::vector<CellIndex> Placed;
   std::uint32_t Left = Need.Tasks;
   for (CellIndex Index : Picked) {
+    if (Left == 0)
+      break;
     const Cell &Which = Cells[Index];
     const std::uint32_t Tasks = std::min(Left, tasksInCell(Which, Need));
     Group Bound = Which.BoundTo;
     Placed.push_back(Index);
-    if (Bound.empty() && !locate(Which, Free, Need, Tasks, Cost, Placed, Bound))
-      return false;
-    CellUse Use{Index, spread(Which, Bound, Need, Tasks)};
-    for (const Member &Each : Use.Members) {
-      if (Cost(Each.Worker, Each.Tasks) < 0)
-        return false;
-      Chosen.Members.push_back(Each);
+    if (Bound.empty() &&
+        !locate(Which, Free, Need, Tasks, Cost, Placed, Bound)) {
+      Placed.pop_back();
+      continue;
     }
+    CellUse Use{Index, spread(Which, Bound, Need, Tasks)};
+    const bool Evictable = std::all_of(
+        Use.Members.begin(), Use.Members.end(),
+        [&](const Member &Each) { return Cost(Each.Worker, Each.Tasks) >= 0; });
+    if (!Evictable)
+      continue;
+    Chosen.Members.insert(Chosen.Members.end(), Use.Members.begin(),
+                          Use.Members.end());
     Chosen.Uses.push_back(std::move(Use));
     Chosen.Bindings.push_back(std::move(Bound));
     Left -= Tasks;
   }
-  return true;
+  return Left == 0;
 }
 
 bool Guarantees::adopt(const WorkspaceId &Workspace, const Demand &Need,
--- a/src/scheduler/Guarantees.h
+++ b/src/scheduler/Guarantees.h
@@ -50,7 +50,7 @@
 
   /// Chooses cells and workers for a gang at the least eviction cost such that
   /// every other free cell can still be packed. Returns false when there is no
-  /// such choice now. \p Excluded workers are not used.
+  /// such choice now.
   bool choose(const WorkspaceId &Workspace, const Demand &Need,
               const EvictionCost &Cost, GuaranteedPlacement &Chosen) const;
 
@@ -117,6 +117,7 @@
   std::uint32_t tasksOnPart(const Cell &Which, std::size_t Part,
                             const Demand &Need) const;
   std::uint32_t tasksInCell(const Cell &Which, const Demand &Need) const;
+  int partFor(const Cell &Which, const Demand &Need) const;
   bool suits(const Cell &Which, const WorkspaceId &Workspace,
              const Demand &Need) const;
   bool withinShare(const Demand &Need) const;
@@ -124,6 +125,7 @@
                                    const Demand &Need) const;
   std::vector<Member> spread(const Cell &Which, const Group &Bound,
                              const Demand &Need, std::uint32_t Tasks) const;
+  std::uint64_t leftover(WorkerIndex Index, const Room &Free) const;
   std::vector<Location> narrowLocations(const Cell &Which, const Room &Free,
                                         std::uint32_t Tasks,
                                         const EvictionCost &Cost) const;
--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -42,6 +42,8 @@
   bool Impossible = false;
   Instant ImpossibleSince;
   double Rank = 0;
+  /// While stopping: when it is stopped at the latest.
+  Instant StopBy;
 };
 
 } // namespace baobabcove
--- a/src/scheduler/PlacementPolicy.cpp
+++ b/src/scheduler/PlacementPolicy.cpp
@@ -106,12 +106,18 @@
                            std::vector<Member> &Chosen) {
     const Group *Best = nullptr;
     std::int64_t BestFree = std::numeric_limits<std::int64_t>::max();
+    std::int64_t BestRackFree = 0;
     for (const Group &Together : Groups) {
       const std::int64_t Free = freeInGroup(Workers, Together);
-      if (Free >= BestFree || roomInGroup(Together, Need, Room) < Need.Tasks)
+      if (Free > BestFree || roomInGroup(Together, Need, Room) < Need.Tasks)
+        continue;
+      // Of equal places, the one in the fuller rack keeps other racks whole.
+      const std::int64_t RackFree = Workers.freeInRack(Together.front());
+      if (Free == BestFree && RackFree >= BestRackFree)
         continue;
       Best = &Together;
       BestFree = Free;
+      BestRackFree = RackFree;
     }
     if (!Best)
       return false;
--- a/src/scheduler/RunTimes.h
+++ b/src/scheduler/RunTimes.h
@@ -8,26 +8,36 @@
 
 #include <map>
 #include <utility>
-#include <vector>
 
 namespace baobabcove {
 
-/// Predicts run times for each workspace and job class. Bounded: the class
-/// that was used longest ago is forgotten when there are too many.
+/// Predicts run times for each workspace and job class. What the class usually
+/// takes and what the caller declared are weighed by how well each has told
+/// the truth so far. Bounded: the class that was used longest ago is forgotten
+/// when there are too many.
 class RunTimes {
 public:
   /// A job of the class ran to its end in \p Run.
-  void learn(const WorkspaceId &Workspace, const std::string &Class,
-             Milliseconds Run);
+  void learn(const JobInfo &Job, Milliseconds Run);
 
-  /// The whole run time to expect of a job that has run for \p Attained. The
-  /// declared time counts only while the class is unknown.
+  /// The whole run time to expect of a job that has run for \p Attained.
   Milliseconds predict(const JobInfo &Job, Milliseconds Attained) const;
 
 private:
+  /// Mean and variance of logarithms, the newer counting for more.
+  struct Moments {
+    double Mean = 0;
+    double Variance = 0;
+    std::uint64_t Count = 0;
+
+    void add(double Value);
+  };
+
   struct Sample {
-    std::vector<std::int64_t> Recent;
-    std::size_t Next = 0;
+    /// Logarithms of run times.
+    Moments Run;
+    /// Logarithms of run time over declared time.
+    Moments Truth;
     std::uint64_t Touched = 0;
   };
   using Key = std::pair<WorkspaceId, std::string>;
--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -231,7 +231,7 @@
   if (!Gang || Gang->Members.empty())
     return;
   if (End.Result == GangResult::Succeeded) {
-    Learned.learn(Gang->Info.Workspace, Gang->Info.Class, End.Progress);
+    Learned.learn(Gang->Info, End.Progress);
     for (const Member &Each : Gang->Members)
       Health.succeeded(Each.Worker);
     release(*Gang);
--- a/src/scheduler/SchedulerCore.h
+++ b/src/scheduler/SchedulerCore.h
@@ -88,9 +88,11 @@
   bool tryCompacting(Job &Waits, Instant Now);
   bool mayUse(const Job &Waits, WorkerIndex Index) const;
   double reclaimCost(const Job &Victim, Instant Now) const;
+  double awaitCost(const Job &Victim, Instant Now) const;
   double outrankCost(const Job &Victim, const Job &For, Instant Now) const;
   void stopVictims(const std::vector<Job *> &Victims, StopReason Reason,
-                   Milliseconds Deadline);
+                   Milliseconds Deadline, Instant Now);
+  void hurryLeaving(WorkerIndex Index, Milliseconds Deadline, Instant Now);
   void stopGang(Job &Gang, StopReason Reason, bool Checkpoint,
                 Milliseconds Deadline);
   void commit(Job &Waits, std::vector<Member> Members, bool Borrowed,
--- a/src/scheduler/SchedulerDecide.cpp
+++ b/src/scheduler/SchedulerDecide.cpp
@@ -14,12 +14,17 @@
 constexpr std::size_t MaxEvictionsTried = 4;
 /// Only gangs with this many times the expected work left are stopped for a
 /// smaller one.
-constexpr double OutrankFactor = 4;
+constexpr double OutrankFactor = 2.5;
 /// A gang that began this recently is not stopped for a smaller one.
 constexpr Milliseconds LeastRun{5 * 60 * 1000};
 /// Waiting time after which a job's rank has halved.
-constexpr double RankHalfLifeMs = 30.0 * 60 * 1000;
+constexpr double RankHalfLifeMs = 4.0 * 3600 * 1000;
 constexpr double NotIdempotentPenalty = 20;
+constexpr double ReservationPenalty = 50;
+/// Longest expected rest of a gang that a reservation waits for.
+constexpr Milliseconds LongestAwait{60 * 60 * 1000};
+/// Gangs that may hold a reservation while others end.
+constexpr std::size_t MaxReservations = 2;
 constexpr Milliseconds LeastCompactionWait{60000};
 
 bool atLeast(const Demand &Larger, const Demand &Than) {
@@ -172,24 +177,43 @@
 }
 
 double Scheduler::Core::reclaimCost(const Job &Victim, Instant) const {
-  if (!Victim.Borrowed || Victim.Phase != JobPhase::Running)
+  if (!Victim.Borrowed)
     return -1;
   const double Loss = static_cast<double>(Options.RestartCost.count()) *
                       static_cast<double>(Victim.Need.totalAccelerators());
+  // A reservation is given up last: the gang has waited long for it.
+  if (Victim.Phase == JobPhase::Planned)
+    return Loss * ReservationPenalty;
+  if (Victim.Phase != JobPhase::Running)
+    return -1;
   return Victim.Info.Idempotent ? Loss : Loss * NotIdempotentPenalty;
 }
 
 double Scheduler::Core::outrankCost(const Job &Victim, const Job &For,
                                     Instant Now) const {
+  if (aged(For, Now) && !Victim.Borrowed && Victim.Phase == JobPhase::Running)
+    return awaitCost(Victim, Now);
   const double Loss = reclaimCost(Victim, Now);
-  if (Loss < 0 || Victim.Protected || !Victim.Info.Idempotent)
+  if (Loss < 0 || Victim.Phase == JobPhase::Planned || Victim.Protected ||
+      !Victim.Info.Idempotent)
     return -1;
   if (aged(For, Now))
     return Loss;
   if (Victim.Info.Urgent || Now - Victim.Started < LeastRun)
     return -1;
   const double Own = areaOf(For, Now);
-  return areaOf(Victim, Now) >= OutrankFactor * Own ? Loss : -1;
+  const double Other = areaOf(Victim, Now);
+  // Of several, the one with most work left suffers least from waiting.
+  return Other >= OutrankFactor * Own ? Loss * (1 + Own / Other) : -1;
+}
+
+/// A gang within its guarantee is not stopped for an aged one, but may be
+/// waited for when it is expected to end soon.
+double Scheduler::Core::awaitCost(const Job &Victim, Instant Now) const {
+  const double Area = areaOf(Victim, Now);
+  const double Left =
+      Area / static_cast<double>(Victim.Need.totalAccelerators());
+  return Left <= static_cast<double>(LongestAwait.count()) ? Area : -1;
 }
 
 bool Scheduler::Core::tryGuaranteed(Job &Waits, Instant Now) {
@@ -218,7 +242,8 @@
     if (!Planner.onWorker(Each.Worker, Waits.Need, Each.Tasks, Cost, Plan))
       return false;
     Reclaims += Plan.Victims.size();
-    stopVictims(Plan.Victims, StopReason::Reclaimed, Deadline);
+    stopVictims(Plan.Victims, StopReason::Reclaimed, Deadline, Now);
+    hurryLeaving(Each.Worker, Deadline, Now);
   }
   Guaranteed.bind(Chosen, Waits.Need);
   commit(Waits, Members, false, std::move(Chosen.Uses));
@@ -248,6 +273,8 @@
 }
 
 bool Scheduler::Core::tryEvicting(Job &Waits, Instant Now) {
+  if (aged(Waits, Now) && Planned.size() >= MaxReservations)
+    return false;
   const EvictionPlanner Planner(Workers, OnWorker);
   EvictionPlan Plan;
   const auto Allowed = [&](WorkerIndex I) { return mayUse(Waits, I); };
@@ -259,7 +286,8 @@
   // A stop must not throw away more than the gang in question will use.
   if (!aged(Waits, Now) && Plan.Cost > areaOf(Waits, Now))
     return false;
-  stopVictims(Plan.Victims, StopReason::Outranked, Options.CheckpointDeadline);
+  stopVictims(Plan.Victims, StopReason::Outranked,
+              Options.PatientCheckpointDeadline, Now);
   commit(Waits, std::move(Plan.Members), true, {});
   Waits.Protected = aged(Waits, Now);
   return true;
@@ -288,15 +316,37 @@
   if (Plan.Cost > Idle)
     return false;
   Compactions += Plan.Victims.size();
-  stopVictims(Plan.Victims, StopReason::Compacted, Options.CheckpointDeadline);
+  stopVictims(Plan.Victims, StopReason::Compacted,
+              Options.PatientCheckpointDeadline, Now);
   commit(Waits, std::move(Plan.Members), true, {});
   return true;
 }
 
 void Scheduler::Core::stopVictims(const std::vector<Job *> &Victims,
-                                  StopReason Reason, Milliseconds Deadline) {
-  for (Job *Victim : Victims)
+                                  StopReason Reason, Milliseconds Deadline,
+                                  Instant Now) {
+  for (Job *Victim : Victims) {
+    if (Victim->Phase == JobPhase::Planned) {
+      unplan(*Victim);
+      continue;
+    }
+    if (!Victim->Borrowed)
+      continue;
     stopGang(*Victim, Reason, true, Deadline);
+    Victim->StopBy = Now + Deadline;
+  }
+}
+
+/// Gangs that leave at their leisure must now make way for a guarantee.
+void Scheduler::Core::hurryLeaving(WorkerIndex Index, Milliseconds Deadline,
+                                   Instant Now) {
+  for (Job *Each : OnWorker[Index]) {
+    if (Each->Phase != JobPhase::Stopping || Each->StopBy <= Now + Deadline)
+      continue;
+    Each->StopBy = Now + Deadline;
+    Commands.emplace_back(StopGang{Each->Info.Id, Each->Number,
+                                   StopReason::Reclaimed, true, Deadline});
+  }
 }
 
 void Scheduler::Core::stopGang(Job &Gang, StopReason Reason, bool Checkpoint,
--- a/src/scheduler/WorkerHealth.cpp
+++ b/src/scheduler/WorkerHealth.cpp
@@ -30,12 +30,12 @@
 std::vector<WorkerIndex> WorkerHealth::jobWasAtFault(const JobId &Job) {
   std::vector<WorkerIndex> Freed;
   for (auto &[Worker, Of] : Records) {
-    if (Of.FailedJobs.erase(Job) == 0 || !Of.Quarantined || Of.Probation)
+    if (Of.FailedJobs.erase(Job) == 0 || !Of.Quarantined)
       continue;
-    if (Of.FailedJobs.size() >= JobsToBlame)
+    if (Of.FailedJobs.size() >= (Of.Probation ? 1 : JobsToBlame))
       continue;
     Of.Quarantined = false;
-    Of.Length = Milliseconds(0);
+    Of.Length = Of.Probation ? Of.Length / 2 : Milliseconds(0);
     Freed.push_back(Worker);
   }
   return Freed;
