--- a/src/scheduler/Guarantees.cpp
+++ b/src/scheduler/Guarantees.cpp
@@ -207,6 +207,14 @@
   return true;
 }
 
+bool Guarantees::broken(const std::vector<CellUse> &Uses) const {
+  for (const CellUse &Use : Uses)
+    for (WorkerIndex I : Cells[Use.Cell].BoundTo)
+      if (!Workers.worker(I).usable())
+        return true;
+  return false;
+}
+
 void Guarantees::workersChanged() {
   Room Free = unboundRoom();
   const std::uint32_t Whole = workerSize();
--- a/src/scheduler/Guarantees.h
+++ b/src/scheduler/Guarantees.h
@@ -66,6 +66,9 @@
   /// Ends a gang's use; a cell without users is unbound.
   void release(const std::vector<CellUse> &Uses, const Demand &Need);
 
+  /// Whether a used cell lies on a worker that can take no more gangs.
+  bool broken(const std::vector<CellUse> &Uses) const;
+
   /// Finds which cells the present workers can hold at once. Call it after
   /// workers have come or gone.
   void workersChanged();
--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -65,7 +65,7 @@
   if (OnWorker.size() <= Index)
     OnWorker.resize(Index + 1);
   if (WasUsable != Workers.worker(Index).usable())
-    Guaranteed.workersChanged();
+    workersChanged();
 }
 
 void Scheduler::Core::workerLost(const NodeId &Id, Instant) {
@@ -79,7 +79,7 @@
   for (Job *Each : Residents)
     if (Each->Phase == JobPhase::Planned)
       unplan(*Each);
-  Guaranteed.workersChanged();
+  workersChanged();
 }
 
 void Scheduler::Core::jobQueued(const JobInfo &Info, Instant Now) {
@@ -141,6 +141,19 @@
     OnWorker[Each.Worker].push_back(&Gang);
 }
 
+/// A cell on a worker that takes nothing more cannot be claimed there, so it
+/// is bound anew elsewhere; the gangs that used it run on as borrowers.
+void Scheduler::Core::workersChanged() {
+  for (auto &[Id, Gang] : Jobs) {
+    if (Gang->Uses.empty() || !Guaranteed.broken(Gang->Uses))
+      continue;
+    Guaranteed.release(Gang->Uses, Gang->Need);
+    Gang->Uses.clear();
+    Gang->Borrowed = true;
+  }
+  Guaranteed.workersChanged();
+}
+
 void Scheduler::Core::release(Job &Gang) {
   if (Gang.Phase == JobPhase::Stopping)
     Workers.setLeaving(Gang.Members, Gang.Need, false);
@@ -259,7 +272,7 @@
   if (!Health.failed(Index, Gang.Info.Id, Now))
     return;
   Workers.setQuarantined(Index, true);
-  Guaranteed.workersChanged();
+  workersChanged();
 }
 
 void Scheduler::Core::gangFailed(Job &Gang, const GangEnd &End, Instant Now) {
@@ -276,7 +289,7 @@
       Gang.Failures >= MaxFailures) {
     for (WorkerIndex Index : Health.jobWasAtFault(Gang.Info.Id))
       Workers.setQuarantined(Index, false);
-    Guaranteed.workersChanged();
+    workersChanged();
     endJob(Gang, ResultCode::JobFailed,
            "It failed on " + std::to_string(Gang.FailedOn.size()) +
                " different workers.");
--- a/src/scheduler/SchedulerCore.h
+++ b/src/scheduler/SchedulerCore.h
@@ -68,6 +68,7 @@
   void requeue(Job &Again, Instant NotBefore);
   void unplan(Job &Planned);
   void reside(Job &Gang);
+  void workersChanged();
   void gangFailed(Job &Gang, const GangEnd &End, Instant Now);
   void blame(const Job &Gang, const NodeId &Blamed, Instant Now);
   void gangStopped(Job &Gang, const GangEnd &End, Instant Now);
--- a/src/scheduler/SchedulerDecide.cpp
+++ b/src/scheduler/SchedulerDecide.cpp
@@ -67,7 +67,7 @@
   for (WorkerIndex Index : Freed)
     Workers.setQuarantined(Index, false);
   if (!Freed.empty())
-    Guaranteed.workersChanged();
+    workersChanged();
 }
 
 void Scheduler::Core::startReady() {
