--- a/include/baobabcove/Scheduler.h
+++ b/include/baobabcove/Scheduler.h
@@ -140,7 +140,7 @@
   /// Weight of completion time against fragmentation, from 0 to 1.
   double CompletionWeight = 0.5;
   /// Time a gang may take to write a checkpoint before it is stopped.
-  Milliseconds CheckpointDeadline{25000};
+  Milliseconds CheckpointDeadline{20000};
   /// The same when nothing hurries, as for compaction.
   Milliseconds PatientCheckpointDeadline{600000};
   /// The same when urgent work waits for the accelerators.
--- a/src/scheduler/SchedulerCore.h
+++ b/src/scheduler/SchedulerCore.h
@@ -75,6 +75,7 @@
 
   void releaseQuarantined(Instant Now);
   void startReady();
+  void claimPlanned();
   void endImpossible(Instant Now);
   void rankWaiting(Instant Now);
   double rankOf(const Job &Waits, Instant Now) const;
--- a/src/scheduler/SchedulerDecide.cpp
+++ b/src/scheduler/SchedulerDecide.cpp
@@ -54,6 +54,8 @@
   if (Traits.Quarantines)
     releaseQuarantined(Now);
   startReady();
+  if (Traits.Reclaims)
+    claimPlanned();
   endImpossible(Now);
   rankWaiting(Now);
   startWaiting(Now);
@@ -85,6 +87,15 @@
   }
 }
 
+/// A gang that waits as a borrower for others to leave at their leisure is
+/// considered anew once its workspace's guarantee covers it.
+void Scheduler::Core::claimPlanned() {
+  const std::vector<Job *> Before = Planned;
+  for (Job *Gang : Before)
+    if (Gang->Borrowed && Guaranteed.covers(Gang->Info.Workspace, Gang->Need))
+      unplan(*Gang);
+}
+
 void Scheduler::Core::endImpossible(Instant Now) {
   const std::vector<Job *> Before = Waiting;
   for (Job *Waits : Before) {
