Prove requests under failure with real processes behind a fault-injecting proxy

Cause: the promises on requests were not proved. KeepsOneWorkspacesBurstFromAnother failed first, 0 of 30 answered: the burst had filled the queue. A full queue now refuses the heaviest workspace's newest waiter. Conclusion: kept; killing every entry in turn still shows a fault, looked into next.

--- a/src/entry/MinionPool.cpp
+++ b/src/entry/MinionPool.cpp
@@ -110,6 +110,45 @@
   ++ByWorkspace[Workspace];
 }
 
+std::size_t MinionPool::slotsOf(const std::string &Service) const {
+  std::size_t Slots = 0;
+  for (const auto &Each : Known.alive(
+           wire::MINION, Milliseconds(Of.MinionSilenceMs), monotonicNow()))
+    if (Each.Beat.minion().service() == Service)
+      Slots += Each.Beat.minion().slots();
+  return Slots;
+}
+
+/// Requests of a workspace that are under way or wait.
+std::size_t MinionPool::load(const std::string &Workspace) const {
+  const auto Found = ByWorkspace.find(Workspace);
+  std::size_t Count = Found == ByWorkspace.end() ? 0 : Found->second;
+  for (const Waiter *Each : Waiters)
+    Count += Each->Wanted->Workspace == Workspace ? 1 : 0;
+  return Count;
+}
+
+/// Refuses the newest waiter of the workspace with the most requests, unless
+/// that is the one that asks.
+bool MinionPool::makeRoomFor(const std::string &Workspace) {
+  Waiter *Heaviest = nullptr;
+  std::size_t Most = load(Workspace) + 1;
+  for (Waiter *Each : Waiters) {
+    const std::size_t Load = load(Each->Wanted->Workspace);
+    if (Load < Most || (Heaviest && Load == Most &&
+                        Each->Wanted->Workspace != Heaviest->Wanted->Workspace))
+      continue;
+    Most = Load;
+    Heaviest = Each;
+  }
+  if (!Heaviest || Heaviest->Wanted->Workspace == Workspace)
+    return false;
+  Heaviest->Refused = true;
+  Waiters.remove(Heaviest);
+  Heaviest->Ready.notify_one();
+  return true;
+}
+
 Expected<MemberRecord> MinionPool::acquire(const SlotRequest &Wanted) {
   std::unique_lock<std::mutex> Lock(Mutex);
   Waiter Mine;
@@ -123,12 +162,8 @@
       return failure(ResultCode::NoMinion,
                      "No live minion answers the service.");
   }
-  std::size_t Slots = 0;
-  for (const auto &Each : Known.alive(
-           wire::MINION, Milliseconds(Of.MinionSilenceMs), monotonicNow()))
-    if (Each.Beat.minion().service() == Wanted.Service)
-      Slots += Each.Beat.minion().slots();
-  if (Waiters.size() >= Slots * WaitersPerSlot)
+  const bool Full = Waiters.size() >= slotsOf(Wanted.Service) * WaitersPerSlot;
+  if (Full && !makeRoomFor(Wanted.Workspace))
     return failure(ResultCode::Overloaded,
                    "Every slot is in use and the queue is full.");
   Mine.Wanted = &Wanted;
@@ -137,9 +172,13 @@
   serveWaiters();
   const Instant GiveUp =
       std::min(Wanted.Deadline, monotonicNow() + LongestWait);
-  Mine.Ready.wait_until(Lock, GiveUp, [&] { return Mine.Granted; });
+  Mine.Ready.wait_until(Lock, GiveUp,
+                        [&] { return Mine.Granted || Mine.Refused; });
   if (Mine.Granted)
     return Mine.Member;
+  if (Mine.Refused)
+    return failure(ResultCode::Overloaded,
+                   "The queue is full and other workspaces wait.");
   Waiters.erase(Place);
   if (monotonicNow() >= Wanted.Deadline)
     return failure(ResultCode::DeadlineBeforeStart,
--- a/src/entry/MinionPool.h
+++ b/src/entry/MinionPool.h
@@ -34,7 +34,8 @@
 /// Chooses among the live minions of a service by distance, free slots and
 /// recent latency, and never sends more than a minion has slots. When all
 /// slots are taken, requests wait, those of the workspace with the fewest
-/// requests under way first; a longer queue is refused. Thread-safe.
+/// requests under way first. When the queue is full as well, the workspace with
+/// the most requests is refused. Thread-safe.
 class MinionPool {
 public:
   MinionPool(const Settings &Of, const Members &Known);
@@ -72,6 +73,7 @@
     const SlotRequest *Wanted = nullptr;
     std::uint64_t Number = 0;
     bool Granted = false;
+    bool Refused = false;
     MemberRecord Member;
     std::condition_variable Ready;
   };
@@ -83,6 +85,9 @@
   bool ejected(const std::string &Node, Instant Now) const;
   std::uint32_t busy(const std::string &Node) const;
   void serveWaiters();
+  std::size_t slotsOf(const std::string &Service) const;
+  std::size_t load(const std::string &Workspace) const;
+  bool makeRoomFor(const std::string &Workspace);
   void take(const std::string &Node, const std::string &Workspace);
   void noteFailure(Minion &Of, Instant Now);
 
--- a/standins/ProxyMain.cpp
+++ b/standins/ProxyMain.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <list>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 #include <Poco/Net/NetException.h>
@@ -41,6 +42,25 @@
 
 Orders Given;
 
+/// Where connections go; it may be told after the start.
+class Target {
+public:
+  void set(const std::string &To) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Address = To;
+  }
+  std::string address() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Address;
+  }
+
+private:
+  std::mutex Mutex;
+  std::string Address;
+};
+
+Target Told;
+
 /// Bytes on their way, with the time at which they may arrive.
 struct Parcel {
   Instant Due;
@@ -89,7 +109,7 @@
 void carry(Poco::Net::StreamSocket Caller, std::uint64_t Number) {
   try {
     Poco::Net::StreamSocket Target;
-    Target.connect(Poco::Net::SocketAddress(absl::GetFlag(FLAGS_target)),
+    Target.connect(Poco::Net::SocketAddress(Told.address()),
                    Poco::Timespan(2, 0));
     Caller.setNoDelay(true);
     Target.setNoDelay(true);
@@ -132,7 +152,9 @@
 
 HttpResponse control(const HttpRequest &Request) {
   const bool On = Request.query("on") != "false";
-  if (Request.Path == "/delay")
+  if (Request.Path == "/target")
+    Told.set(Request.query("to"));
+  else if (Request.Path == "/delay")
     Given.DelayMs = std::stoi(Request.query("ms"));
   else if (Request.Path == "/refuse")
     Given.Refuse = On;
@@ -150,6 +172,7 @@
 
 int serve() {
   blockSignals();
+  Told.set(absl::GetFlag(FLAGS_target));
   Poco::Net::ServerSocket Listener;
   Listener.bind(Poco::Net::SocketAddress(absl::GetFlag(FLAGS_listen)), true,
                 false);
