Wait for progress before the reclaim test claims

Cause: the guarantee was claimed 8 ms after the borrower began, when its true progress was still zero. Change: the test waits until the borrower's part reports progress; the check stays. Conclusion: the fault was the test's.

--- a/tests/fault/JobFaultTest.cpp
+++ b/tests/fault/JobFaultTest.cpp
@@ -294,6 +294,12 @@
   // "shed" borrows everything; "other" holds the guarantee.
   const std::string Lent = Jobs.submit(0, 2, 60000);
   CHECK_TRUE(Jobs.Site.waitJob(0, Lent, wire::JOB_RUNNING));
+  CHECK_TRUE(Jobs.Site.waitFor([&] {
+    const auto Dump = Jobs.Site.state(Jobs.Site.workerAgent(0).value("http"));
+    const auto Parts = Dump->getArray("parts");
+    return Parts->size() == 1 &&
+           Parts->getObject(0)->getValue<int>("progress_ms") > 0;
+  }));
   const Instant Asked = monotonicNow();
   const CallResult Claimed = Jobs.Site.call(
       0, "POST", "/v1/jobs", gang(1, 8, 300, true, ",\"urgent\":true"),
