Interpret state charts from files, and test the units

Change: charts of job, task, minion and worker in YAML, checked at load for unreachable states and missing events; an event that a chart refuses is counted and changes nothing.

--- a/programs/AgentMain.cpp
+++ b/programs/AgentMain.cpp
@@ -36,7 +36,12 @@
   blockSignals();
   startLogging("baobabcove-agent", Of.Node,
                Of.LogFormat == "json" ? LogFormat::Json : LogFormat::Text);
-  AgentProcess Agent(Of);
+  auto Charts = StateCharts::load(Of.ChartFolder);
+  if (!Charts) {
+    std::cerr << Charts.error().Detail << '\n';
+    return 1;
+  }
+  AgentProcess Agent(Of, std::move(*Charts));
   if (auto Started = Agent.start(); !Started) {
     std::cerr << Started.error().Detail << '\n';
     return 1;
--- a/programs/EntryMain.cpp
+++ b/programs/EntryMain.cpp
@@ -37,7 +37,12 @@
   blockSignals();
   startLogging("baobabcove-entry", Of.Node,
                Of.LogFormat == "json" ? LogFormat::Json : LogFormat::Text);
-  EntryProcess Entry(Of);
+  auto Charts = StateCharts::load(Of.ChartFolder);
+  if (!Charts) {
+    std::cerr << Charts.error().Detail << '\n';
+    return 1;
+  }
+  EntryProcess Entry(Of, std::move(*Charts));
   if (auto Started = Entry.start(); !Started) {
     std::cerr << Started.error().Detail << '\n';
     return 1;
--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-AgentProcess::AgentProcess(const Settings &Of)
-    : Of(Of), Incarnation(static_cast<std::uint64_t>(wallClockMs())) {}
+AgentProcess::AgentProcess(const Settings &Of, StateCharts Charts)
+    : Of(Of), Charts(std::move(Charts)),
+      Incarnation(static_cast<std::uint64_t>(wallClockMs())) {}
 
 AgentProcess::~AgentProcess() {
   Stopping = true;
@@ -69,11 +70,11 @@
         onReply(Reply, SentAt);
       });
   if (Of.TargetKind == "minion")
-    Minion = std::make_unique<MinionGuard>(Of, Incarnation, Figures);
+    Minion = std::make_unique<MinionGuard>(Of, Charts, Incarnation, Figures);
   else
-    Worker = std::make_unique<WorkerGuard>(Of, makeHttpWorker(Of.TargetAddress),
-                                           Peers, Figures,
-                                           [this] { Announcing->nudge(); });
+    Worker = std::make_unique<WorkerGuard>(
+        Of, Charts, makeHttpWorker(Of.TargetAddress), Peers, Figures,
+        [this] { Announcing->nudge(); });
   auto Served = serveRpc(Of.RpcAddress, nullptr, this);
   if (!Served)
     return tl::unexpected<Error>(Served.error());
@@ -173,12 +174,14 @@
   Out->set("entries", Entries);
   if (Minion) {
     const wire::MinionStatus Status = Minion->status();
+    Out->set("minion", Minion->life());
     Out->set("service", Status.service());
     Out->set("slots", Status.slots());
     Out->set("in_flight", Status.in_flight());
     Out->set("outcomes", Minion->outcomes());
     Out->set("draining", Minion->draining());
   } else {
+    Out->set("worker", Worker->life());
     Poco::JSON::Array::Ptr Parts = new Poco::JSON::Array;
     const wire::WorkerStatus Status = Worker->status();
     for (const auto &Part : Status.parts()) {
--- a/src/agent/AgentProcess.h
+++ b/src/agent/AgentProcess.h
@@ -25,7 +25,7 @@
 /// Ties the parts of an agent together.
 class AgentProcess : public AgentHandler {
 public:
-  explicit AgentProcess(const Settings &Of);
+  AgentProcess(const Settings &Of, StateCharts Charts);
   ~AgentProcess() override;
 
   /// Binds the addresses and begins to announce the target.
@@ -56,6 +56,7 @@
   void findEntriesLoop();
 
   const Settings Of;
+  const StateCharts Charts;
   const std::uint64_t Incarnation;
   Metrics Figures;
   ConfigurationKeeper Keeper;
--- a/src/agent/MinionGuard.cpp
+++ b/src/agent/MinionGuard.cpp
@@ -17,11 +17,11 @@
 
 } // namespace
 
-MinionGuard::MinionGuard(const Settings &Of, std::uint64_t Incarnation,
-                         Metrics &Figures)
+MinionGuard::MinionGuard(const Settings &Of, const StateCharts &Charts,
+                         std::uint64_t Incarnation, Metrics &Figures)
     : Slots(Of.Slots), Service(Of.Service), Incarnation(Incarnation),
       Figures(Figures), Minion(Of.TargetAddress), Health(Of.TargetAddress),
-      Outcomes(Of.MaxOutcomes, MaxOutcomeBytes),
+      Outcomes(Of.MaxOutcomes, MaxOutcomeBytes), Life(Charts.Minion, Figures),
       HealthThread([this] { watchHealth(); }) {}
 
 MinionGuard::~MinionGuard() {
@@ -127,9 +127,11 @@
   return Reply;
 }
 
-void MinionGuard::setDraining(bool Draining) { OwnDraining = Draining; }
+void MinionGuard::setDraining(bool Draining) {
+  Life.take(Draining ? "drain" : "resume");
+}
 
-bool MinionGuard::draining() const { return OwnDraining || MinionDraining; }
+bool MinionGuard::draining() const { return !Life.is("serving"); }
 
 wire::MinionStatus MinionGuard::status() const {
   wire::MinionStatus Status;
@@ -160,9 +162,8 @@
   while (!Stopping) {
     Lock.unlock();
     const bool Accepts = minionAcceptsWork();
-    if (MinionDraining.exchange(!Accepts) == Accepts)
-      LOG4CPLUS_INFO(logOf("minion"), (Accepts ? "The minion accepts work."
-                                               : "The minion takes no work."));
+    if (Life.take(Accepts ? "accept" : "refuse"))
+      LOG4CPLUS_INFO(logOf("minion"), "The minion is " << Life.state() << ".");
     Lock.lock();
     Changed.wait_for(Lock, HealthPeriod, [&] { return Stopping; });
   }
--- a/src/agent/MinionGuard.h
+++ b/src/agent/MinionGuard.h
@@ -7,6 +7,7 @@
 #include "agent/OutcomeTable.h"
 #include "base/HttpClient.h"
 #include "base/Metrics.h"
+#include "base/StateMachine.h"
 #include "config/Settings.h"
 
 #include <atomic>
@@ -21,7 +22,8 @@
 /// that a minion in graceful shutdown gets nothing new.
 class MinionGuard {
 public:
-  MinionGuard(const Settings &Of, std::uint64_t Incarnation, Metrics &Figures);
+  MinionGuard(const Settings &Of, const StateCharts &Charts,
+              std::uint64_t Incarnation, Metrics &Figures);
   ~MinionGuard();
 
   wire::ExecuteReply execute(const wire::ExecuteRequest &Request);
@@ -32,6 +34,7 @@
   bool draining() const;
 
   wire::MinionStatus status() const;
+  std::string life() const { return Life.state(); }
   std::size_t outcomes() const { return Outcomes.size(); }
 
   /// Waits until no request runs, at most \p Patience.
@@ -54,8 +57,7 @@
   HttpClient Minion;
   HttpClient Health;
   OutcomeTable Outcomes;
-  std::atomic<bool> OwnDraining{false};
-  std::atomic<bool> MinionDraining{true};
+  StateMachine Life;
   mutable std::mutex Mutex;
   std::condition_variable Changed;
   std::uint32_t InFlight = 0;
--- a/src/agent/PartTable.cpp
+++ b/src/agent/PartTable.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <Poco/String.h>
+
 namespace baobabcove {
 
 namespace {
@@ -12,16 +14,23 @@
 /// A report taken before the worker got the order does not know the tasks.
 constexpr Milliseconds StartGrace{1500};
 
-wire::GangPhase phaseOf(const std::string &State) {
-  if (State == "succeeded")
-    return wire::SUCCEEDED;
-  if (State == "failed")
-    return wire::FAILED;
-  if (State == "running")
-    return wire::RUNNING;
-  if (State == "stopped")
-    return wire::STOPPED;
-  return wire::LOST;
+/// The event by which a part follows its tasks at the worker; empty while they
+/// run.
+std::string eventOf(const std::string &TaskState) {
+  if (TaskState == "running")
+    return {};
+  if (TaskState == "succeeded")
+    return "succeed";
+  if (TaskState == "failed")
+    return "fail";
+  if (TaskState == "stopped")
+    return "stop";
+  return "lose";
+}
+
+/// The chart's name of a phase.
+std::string stateName(wire::GangPhase Phase) {
+  return Poco::toLower(wire::GangPhase_Name(Phase));
 }
 
 } // namespace
@@ -116,7 +125,8 @@
     return {};
   if (Now > Part->Until)
     return failure(ResultCode::UnknownGang, "The reservation has lapsed.");
-  Part->Phase = wire::ARMED;
+  if (auto Moved = move(*Part, "arm", Now); !Moved)
+    return Moved;
   Part->Start = Request;
   Part->Until = Now + Lease;
   Part->Progress = Milliseconds(Request.resume_ms());
@@ -143,10 +153,21 @@
   return Found == Parts.end() ? nullptr : &Found->second;
 }
 
-void PartTable::end(PartRecord &Part, wire::GangPhase Phase, Instant Now) {
+Expected<void> PartTable::move(PartRecord &Part, const std::string &Event,
+                               Instant Now) {
+  const auto Next = Chart.next(stateName(Part.Phase), Event);
+  wire::GangPhase Phase{};
+  if (!Next || !wire::GangPhase_Parse(Poco::toUpper(*Next), &Phase)) {
+    ++RefusedEvents;
+    return failure(ResultCode::EventNotAllowed,
+                   "A part that is " + stateName(Part.Phase) +
+                       " does not take the event " + Event + ".");
+  }
   Part.Phase = Phase;
   Part.ChangedAt = Now;
-  dropOldest();
+  if (Part.ended())
+    dropOldest();
+  return {};
 }
 
 void PartTable::dropOldest() {
@@ -180,9 +201,7 @@
     }
     if (Part.Phase == wire::RUNNING) {
       Tasks.push_back(Part.taskName());
-      Part.Phase = wire::LOST;
-      Part.ChangedAt = Now;
-      ++It;
+      (void)move((It++)->second, "lose", Now);
       continue;
     }
     It = Parts.erase(It);
@@ -194,25 +213,25 @@
   std::map<std::string, const platform::TaskStatus *> ByName;
   for (const auto &Status : Report.tasks())
     ByName[Status.id()] = &Status;
-  bool Changed = false;
+  std::vector<std::pair<PartRecord *, std::string>> Moves;
   for (auto &[Name, Part] : Parts) {
     if (Part.Phase != wire::RUNNING)
       continue;
     const auto Found = ByName.find(Part.taskName());
-    wire::GangPhase Seen = wire::LOST;
+    std::string Event = "lose";
     if (Found != ByName.end()) {
-      Seen = phaseOf(Found->second->state());
+      Event = eventOf(Found->second->state());
       Part.Progress = Milliseconds(Found->second->progress_ms());
     } else if (Now < Part.ChangedAt + StartGrace) {
       continue;
     }
-    if (Seen == wire::RUNNING || (Seen == wire::STOPPED && Part.StopUnderWay))
+    if (Event.empty() || (Event == "stop" && Part.StopUnderWay))
       continue;
-    Part.Phase = Seen;
-    Part.ChangedAt = Now;
-    Changed = true;
+    Moves.emplace_back(&Part, Event);
   }
-  return Changed;
+  for (auto &[Part, Event] : Moves)
+    (void)move(*Part, Event, Now);
+  return !Moves.empty();
 }
 
 std::vector<PartRecord *> PartTable::all() {
--- a/src/agent/PartTable.h
+++ b/src/agent/PartTable.h
@@ -8,6 +8,7 @@
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
 #include "baobabcove/ResultCode.h"
+#include "baobabcove/StateChart.h"
 #include "platform.pb.h"
 #include "wire.pb.h"
 
@@ -57,7 +58,8 @@
 /// The table of parts. Not thread-safe: its owner locks.
 class PartTable {
 public:
-  PartTable(WorkerSize Size, Milliseconds Lease) : Size(Size), Lease(Lease) {}
+  PartTable(WorkerSize Size, Milliseconds Lease, const StateChart &Chart)
+      : Size(Size), Lease(Lease), Chart(Chart) {}
 
   /// Notes a coordinator's epoch. Fails with StaleEpoch when a newer one has
   /// been heard.
@@ -84,8 +86,12 @@
   /// The part of an attempt, or null.
   PartRecord *find(const JobId &Job, Attempt Number);
 
-  /// Moves a part to an ended phase.
-  void end(PartRecord &Part, wire::GangPhase Phase, Instant Now);
+  /// Moves a part by an event of the task chart. Fails with EventNotAllowed
+  /// and counts it.
+  Expected<void> move(PartRecord &Part, const std::string &Event, Instant Now);
+
+  /// Events that the chart did not allow.
+  std::uint64_t refusedEvents() const { return RefusedEvents; }
 
   /// Drops an ended part whose end has been recorded.
   void forget(const JobId &Job, Attempt Number);
@@ -109,6 +115,8 @@
 
   const WorkerSize Size;
   const Milliseconds Lease;
+  const StateChart &Chart;
+  std::uint64_t RefusedEvents = 0;
   Epoch Highest;
   std::map<Key, PartRecord> Parts;
 };
--- a/src/agent/WorkerGuard.cpp
+++ b/src/agent/WorkerGuard.cpp
@@ -27,13 +27,14 @@
 
 } // namespace
 
-WorkerGuard::WorkerGuard(const Settings &Of,
+WorkerGuard::WorkerGuard(const Settings &Of, const StateCharts &Charts,
                          std::unique_ptr<WorkerClient> Worker, RpcPeers &Peers,
                          Metrics &Figures, std::function<void()> Changed)
     : Self(Of.Node), Size(sizeOf(Of)), Lease(Of.GangLeaseMs),
       Isolation(Of.IsolationMs), Autonomy(Of.AutonomyMs),
       Worker(std::move(Worker)), Peers(Peers), Figures(Figures),
-      Changed(std::move(Changed)), Parts(Size, Lease), Stops(MaxStops),
+      Changed(std::move(Changed)), Life(Charts.Worker, Figures),
+      Parts(Size, Lease, Charts.Task), Stops(MaxStops),
       Supervisor([this] { superviseLoop(); }), Leader([this] { leadLoop(); }) {
   for (std::uint32_t I = 0; I < Size.Accelerators; ++I)
     Stoppers.emplace_back([this] { stopperLoop(); });
@@ -87,7 +88,7 @@
       if (Part->Phase == wire::RUNNING)
         Tasks.push_back(Part->taskName());
       if (!Part->ended())
-        Parts.end(*Part, wire::LOST, Now);
+        (void)Parts.move(*Part, "lose", Now);
     }
   }
   for (const std::string &Task : Tasks) {
@@ -168,9 +169,9 @@
     // process between here and there starts nothing late.
     Order.set_lease_until_ms(
         static_cast<std::uint64_t>(Part->Until.time_since_epoch().count()));
-    Part->Phase = wire::RUNNING;
+    if (!Parts.move(*Part, "go", monotonicNow()))
+      return false;
     Part->MayHaveRun = true;
-    Part->ChangedAt = monotonicNow();
   }
   const Expected<void> Done = Worker->start(Order);
   if (!Done) {
@@ -178,7 +179,7 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     PartRecord *Part = Parts.find(Job, Number);
     if (Part && Part->Phase == wire::RUNNING)
-      Parts.end(*Part, wire::LOST, monotonicNow());
+      (void)Parts.move(*Part, "lose", monotonicNow());
     LOG4CPLUS_WARN(logOf("gang"), "The worker did not start "
                                       << Order.id() << ": "
                                       << Done.error().Detail);
@@ -199,7 +200,7 @@
       return replyOf(
           failure(ResultCode::UnknownGang, "There is no such part."));
     if (Part->Phase == wire::RESERVED || Part->Phase == wire::ARMED)
-      Parts.end(*Part, wire::STOPPED, monotonicNow());
+      (void)Parts.move(*Part, "stop", monotonicNow());
     Part->StopUnderWay = Part->Phase == wire::RUNNING;
     Part->ClosingUntil =
         monotonicNow() + Milliseconds(Request.deadline_ms()) + Lease;
@@ -248,7 +249,7 @@
       Part->Checkpointed = Checkpointed;
       Part->Progress =
           Checkpointed ? Kept : Milliseconds(Part->Start.resume_ms());
-      Parts.end(*Part, wire::STOPPED, monotonicNow());
+      (void)Parts.move(*Part, "stop", monotonicNow());
     }
   }
   Changed();
@@ -301,13 +302,13 @@
 
 void WorkerGuard::superviseOnce() {
   const auto Report = Worker->report();
-  const bool Accepts = Report && Report->state() == "ready";
   if (Report && !LeftoversGone)
     dropLeftovers();
-  if (WorkerReady.exchange(Accepts && LeftoversGone) !=
-      (Accepts && LeftoversGone)) {
-    LOG4CPLUS_INFO(logOf("worker"), (WorkerReady ? "The worker accepts tasks."
-                                                 : "The worker takes none."));
+  const bool Accepts = Report && LeftoversGone && Report->state() == "ready";
+  if (LeftoversGone && Life.is("unheard"))
+    Life.take("clear");
+  if (Life.take(Accepts ? "accept" : "refuse")) {
+    LOG4CPLUS_INFO(logOf("worker"), "The worker is " << Life.state() << ".");
     Changed();
   }
   stopIfCutOff(monotonicNow());
--- a/src/agent/WorkerGuard.h
+++ b/src/agent/WorkerGuard.h
@@ -8,6 +8,7 @@
 #include "agent/WorkerClient.h"
 #include "base/Metrics.h"
 #include "base/Ring.h"
+#include "base/StateMachine.h"
 #include "config/Settings.h"
 #include "rpc/Rpc.h"
 
@@ -31,8 +32,9 @@
 class WorkerGuard {
 public:
   /// \p Changed is called after a part has moved, without a lock held.
-  WorkerGuard(const Settings &Of, std::unique_ptr<WorkerClient> Worker,
-              RpcPeers &Peers, Metrics &Figures, std::function<void()> Changed);
+  WorkerGuard(const Settings &Of, const StateCharts &Charts,
+              std::unique_ptr<WorkerClient> Worker, RpcPeers &Peers,
+              Metrics &Figures, std::function<void()> Changed);
   ~WorkerGuard();
 
   wire::CommandReply reserve(const wire::ReserveRequest &Request);
@@ -41,9 +43,10 @@
   wire::CommandReply stop(const wire::StopRequest &Request);
   wire::InventoryReply inventory(const wire::InventoryRequest &Request);
 
-  void setDraining(bool Draining) { OwnDraining = Draining; }
+  void setDraining(bool Draining) { Life.take(Draining ? "drain" : "resume"); }
   /// Whether no new parts are taken.
-  bool draining() const { return OwnDraining || !WorkerReady; }
+  bool draining() const { return !Life.is("accepting"); }
+  std::string life() const { return Life.state(); }
   void raiseEpoch(Epoch Heard);
   /// An entry answered a heartbeat sent at \p SentAt; it had contact with the
   /// coordinator \p CoordinatorAge before.
@@ -91,9 +94,7 @@
   RpcPeers &Peers;
   Metrics &Figures;
   const std::function<void()> Changed;
-  std::atomic<bool> OwnDraining{false};
-  /// Whether the worker answers, accepts work and holds no unknown tasks.
-  std::atomic<bool> WorkerReady{false};
+  StateMachine Life;
   std::atomic<bool> StoppingAll{false};
   mutable std::mutex Mutex;
   std::condition_variable Wake;
@@ -104,6 +105,7 @@
   Instant EntryHeardAt;
   Instant CoordinatorSeenAt;
   bool Stopping = false;
+  /// No task of an earlier life of this agent runs any more.
   bool LeftoversGone = false;
   /// Stops that are under way or wait for a thread; one for each running part.
   Ring<wire::StopRequest> Stops;
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// The folder of the chart files as the build lays them out.
-constexpr std::string_view DefaultCharts = "charts";
-
 std::string placeOf(const std::string &Source, const YAML::Mark &Mark) {
   return Source + ":" + std::to_string(Mark.line + 1) + ": ";
 }
@@ -162,7 +159,8 @@
       {"entry_addresses", &S::EntryAddresses,
        "rpc addresses of some entries, to begin with"},
       {"log_format", &S::LogFormat, "text or json"},
-      {"chart_folder", &S::ChartFolder, "folder of the state charts"},
+      {"chart_folder", &S::ChartFolder,
+       "folder of the state charts; empty for the program's own"},
       {"target_kind", &S::TargetKind, "agent: minion or worker"},
       {"target_address", &S::TargetAddress, "agent: ip:port of the target"},
       {"service", &S::Service, "agent of a minion: the service it answers"},
@@ -205,7 +203,6 @@
 Expected<Settings> readSettings(const std::string &Path,
                                 const std::vector<std::string> &Overrides) {
   Settings Result;
-  Result.ChartFolder = DefaultCharts;
   if (!Path.empty()) {
     if (auto Done = readFileInto(Result, Path); !Done)
       return tl::unexpected<Error>(Done.error());
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -34,12 +34,13 @@
 
 } // namespace
 
-Coordinator::Coordinator(const Settings &Of, Store &Platform, RpcPeers &Peers,
-                         JobBook &Book, const Members &Known,
-                         ConfigurationKeeper &Keeper, Metrics &Figures)
-    : Of(Of), Platform(Platform), Book(Book), Known(Known), Keeper(Keeper),
-      Figures(Figures), Events(EventCapacity), Records(Book),
-      Actions(Peers, Book, Records), Losses(lossTimes(Of)),
+Coordinator::Coordinator(const Settings &Of, const StateChart &JobChart,
+                         Store &Platform, RpcPeers &Peers, JobBook &Book,
+                         const Members &Known, ConfigurationKeeper &Keeper,
+                         Metrics &Figures)
+    : Of(Of), Life(JobChart, Figures), Platform(Platform), Book(Book),
+      Known(Known), Keeper(Keeper), Figures(Figures), Events(EventCapacity),
+      Records(Book), Actions(Peers, Book, Records, Life), Losses(lossTimes(Of)),
       Published(makeDump()) {
   for (std::size_t I = 0; I < ActorCount; ++I)
     Orders.push_back(std::make_unique<Ring<Action>>(OrderCapacity));
@@ -384,11 +385,11 @@
   const Attempt Ended = Gang.Number;
   Records.record(
       Job,
-      [Number, End](wire::JobRecord &Record) {
-        if (Record.attempt() != Number || hasEnded(Record))
-          return false;
+      [this, Number, End](wire::JobRecord &Record) {
         const bool Done = End.Result == GangResult::Succeeded;
-        Record.set_state(Done ? wire::DONE : wire::QUEUED);
+        if (Record.attempt() != Number || hasEnded(Record) ||
+            !Life.move(Record, Done ? "finish" : "requeue"))
+          return false;
         Record.set_progress_ms(
             static_cast<std::uint64_t>(End.Progress.count()));
         Record.set_may_have_run(Record.may_have_run() || End.MayHaveRun);
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -9,6 +9,7 @@
 #include "config/ConfigurationKeeper.h"
 #include "coordinator/GangActions.h"
 #include "coordinator/GangTracker.h"
+#include "coordinator/JobLife.h"
 #include "coordinator/LossJudge.h"
 #include "coordinator/Recorder.h"
 #include "membership/Members.h"
@@ -30,9 +31,9 @@
 /// one job stay in sequence.
 class Coordinator {
 public:
-  Coordinator(const Settings &Of, Store &Platform, RpcPeers &Peers,
-              JobBook &Book, const Members &Known, ConfigurationKeeper &Keeper,
-              Metrics &Figures);
+  Coordinator(const Settings &Of, const StateChart &JobChart, Store &Platform,
+              RpcPeers &Peers, JobBook &Book, const Members &Known,
+              ConfigurationKeeper &Keeper, Metrics &Figures);
   ~Coordinator();
 
   /// The role was taken (with its epoch) or lost (zero).
@@ -131,6 +132,7 @@
   StopOrder stopOrderOf(const TrackedGang &Gang) const;
 
   const Settings &Of;
+  const JobLife Life;
   Store &Platform;
   JobBook &Book;
   const Members &Known;
--- a/src/coordinator/GangActions.cpp
+++ b/src/coordinator/GangActions.cpp
@@ -20,8 +20,8 @@
 } // namespace
 
 GangActions::GangActions(RpcPeers &Peers, JobBook &Book,
-                         const Recorder &Records)
-    : Peers(Peers), Book(Book), Records(Records) {}
+                         const Recorder &Records, const JobLife &Life)
+    : Peers(Peers), Book(Book), Records(Records), Life(Life) {}
 
 StartOutcome GangActions::start(const StartOrder &Order) {
   StartOutcome Result;
@@ -86,9 +86,8 @@
   for (;;) {
     wire::JobRecord &Record = Present.Record;
     if (hasEnded(Record) || Record.cancel_requested() ||
-        Record.attempt() >= Order.Number.value())
+        Record.attempt() >= Order.Number.value() || !Life.move(Record, "start"))
       return failure(ResultCode::CompareFailed, "The job has moved on.");
-    Record.set_state(wire::STARTING);
     Record.set_attempt(Order.Number.value());
     Record.set_epoch(Order.By.value());
     Record.set_borrowed(Order.Borrowed);
--- a/src/coordinator/GangActions.h
+++ b/src/coordinator/GangActions.h
@@ -6,6 +6,7 @@
 
 #include "baobabcove/Ids.h"
 #include "config/Settings.h"
+#include "coordinator/JobLife.h"
 #include "coordinator/Recorder.h"
 #include "entry/JobBook.h"
 #include "rpc/Rpc.h"
@@ -47,7 +48,8 @@
 /// Carries orders out. Thread-safe; each call blocks until it is done.
 class GangActions {
 public:
-  GangActions(RpcPeers &Peers, JobBook &Book, const Recorder &Records);
+  GangActions(RpcPeers &Peers, JobBook &Book, const Recorder &Records,
+              const JobLife &Life);
 
   /// Reserves on every member, records the start, then arms every member. The
   /// record comes before the first order to run, so that a successor knows of
@@ -69,6 +71,7 @@
   RpcPeers &Peers;
   JobBook &Book;
   const Recorder &Records;
+  const JobLife &Life;
 };
 
 } // namespace baobabcove
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -49,8 +49,9 @@
 
 } // namespace
 
-EntryProcess::EntryProcess(const Settings &Of)
-    : Of(Of), Incarnation(static_cast<std::uint64_t>(wallClockMs())),
+EntryProcess::EntryProcess(const Settings &Of, StateCharts Charts)
+    : Of(Of), Charts(std::move(Charts)),
+      Incarnation(static_cast<std::uint64_t>(wallClockMs())),
       Platform(makeHttpStore(Of.StoreAddress)),
       WatchPlatform(makeHttpStore(Of.StoreAddress)),
       Claims(*Platform, std::chrono::seconds(Of.ClaimTtlS)),
@@ -69,8 +70,8 @@
 }
 
 Expected<void> EntryProcess::start() {
-  Coordinating = std::make_unique<Coordinator>(Of, *Platform, Peers, Book,
-                                               Known, Keeper, Figures);
+  Coordinating = std::make_unique<Coordinator>(Of, Charts.Job, *Platform, Peers,
+                                               Book, Known, Keeper, Figures);
   Announcing = std::make_unique<Announcer>(
       Peers, Keeper, Milliseconds(Of.HeartbeatMs), [this] { return ownBeat(); },
       [this](const wire::HeartbeatReply &Reply, Instant SentAt) {
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -5,6 +5,7 @@
 #ifndef BAOBABCOVE_ENTRY_ENTRYPROCESS_H
 #define BAOBABCOVE_ENTRY_ENTRYPROCESS_H
 
+#include "baobabcove/StateChart.h"
 #include "coordinator/Coordinator.h"
 #include "coordinator/RoleKeeper.h"
 #include "entry/ConfigurationApi.h"
@@ -22,7 +23,7 @@
 /// Ties the parts of an entry together.
 class EntryProcess : public EntryHandler {
 public:
-  explicit EntryProcess(const Settings &Of);
+  EntryProcess(const Settings &Of, StateCharts Charts);
   ~EntryProcess() override;
 
   /// Binds the addresses and begins to serve.
@@ -81,6 +82,7 @@
   std::string peerAddress() const;
 
   const Settings Of;
+  const StateCharts Charts;
   const std::uint64_t Incarnation;
   Metrics Figures;
   std::unique_ptr<Store> Platform;
--- /dev/null
+++ b/tests/agent/OutcomeTableTest.cpp
@@ -0,0 +1,86 @@
+#include "agent/OutcomeTable.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+namespace {
+
+wire::ExecuteRequest request(const std::string &Id) {
+  wire::ExecuteRequest Request;
+  Request.set_workspace("w");
+  Request.set_request_id(Id);
+  return Request;
+}
+
+wire::ExecuteReply answer(const std::string &Body) {
+  wire::ExecuteReply Reply;
+  Reply.set_body(Body);
+  return Reply;
+}
+
+constexpr Milliseconds Patience{2000};
+
+} // namespace
+
+TEST_GROUP(OutcomeTable) {
+  OutcomeTable Table{4, 1 << 20};
+  wire::ExecuteReply Reply;
+  Instant Now = monotonicNow();
+
+  OutcomeTable::Claim begin(const wire::ExecuteRequest &Request,
+                            const std::string &Digest = "d") {
+    return Table.begin(Request, Digest, monotonicNow() + Patience, Now, Reply);
+  }
+  ResultCode code() const { return static_cast<ResultCode>(Reply.code()); }
+};
+
+TEST(OutcomeTable, RunsARequestOnceAndRepeatsItsAnswer) {
+  CHECK_TRUE(OutcomeTable::Claim::Run == begin(request("a")));
+  Table.finish(request("a"), answer("x"), Now);
+  CHECK_TRUE(OutcomeTable::Claim::Known == begin(request("a")));
+  STRCMP_EQUAL("x", Reply.body().c_str());
+}
+
+TEST(OutcomeTable, WaitsForARunThatIsUnderWay) {
+  CHECK_TRUE(OutcomeTable::Claim::Run == begin(request("a")));
+  std::thread Runner([&] { Table.finish(request("a"), answer("x"), Now); });
+  CHECK_TRUE(OutcomeTable::Claim::Known == begin(request("a")));
+  Runner.join();
+  STRCMP_EQUAL("x", Reply.body().c_str());
+}
+
+TEST(OutcomeTable, BarsARequestThatWasAskedForBeforeItCame) {
+  wire::ExecuteRequest Question = request("a");
+  Question.set_ask_only(true);
+  CHECK_TRUE(OutcomeTable::Claim::Known == begin(Question));
+  CHECK_TRUE(ResultCode::Withdrawn == code());
+  CHECK_TRUE(OutcomeTable::Claim::Known == begin(request("a")));
+  CHECK_TRUE(ResultCode::Withdrawn == code());
+}
+
+TEST(OutcomeTable, RefusesAKeyThatComesWithAnotherRequest) {
+  CHECK_TRUE(OutcomeTable::Claim::Run == begin(request("a"), "d1"));
+  Table.finish(request("a"), answer("x"), Now);
+  CHECK_TRUE(OutcomeTable::Claim::Known == begin(request("a"), "d2"));
+  CHECK_TRUE(ResultCode::KeyReused == code());
+}
+
+TEST(OutcomeTable, RefusesNewRequestsWhenFullAndForgetsOnlyOldOnes) {
+  for (const char *Id : {"a", "b", "c", "d"}) {
+    CHECK_TRUE(OutcomeTable::Claim::Run == begin(request(Id)));
+    Table.finish(request(Id), answer(Id), Now);
+  }
+  CHECK_TRUE(OutcomeTable::Claim::Known == begin(request("e")));
+  CHECK_TRUE(ResultCode::OutcomeTableFull == code());
+  Now += (OutcomeTable::KeptPeriods + 1) * OutcomeTable::Period;
+  CHECK_TRUE(OutcomeTable::Claim::Run == begin(request("e")));
+}
+
+TEST(OutcomeTable, TakesARequestAgainThatDidNotRun) {
+  CHECK_TRUE(OutcomeTable::Claim::Run == begin(request("a")));
+  Table.abandon(request("a"));
+  CHECK_TRUE(OutcomeTable::Claim::Run == begin(request("a")));
+}
--- /dev/null
+++ b/tests/base/StateChartTest.cpp
@@ -0,0 +1,67 @@
+#include "baobabcove/StateChart.h"
+#include "base/StateMachine.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+namespace {
+
+const char *const Door = "initial: shut\n"
+                         "final: [gone]\n"
+                         "events: [open, close, burn]\n"
+                         "states:\n"
+                         "  shut: {open: ajar, burn: gone}\n"
+                         "  ajar: {close: shut}\n";
+
+std::string faultsOf(const std::string &Text) {
+  const auto Chart = StateChart::parse(Text, "t.yaml");
+  return Chart ? std::string() : Chart.error().Detail;
+}
+
+} // namespace
+
+TEST_GROUP(StateChart){};
+
+TEST(StateChart, LeadsFromStateToStateByEvents) {
+  const auto Chart = StateChart::parse(Door, "door");
+  CHECK_TRUE(Chart.has_value());
+  STRCMP_EQUAL("ajar", Chart->next("shut", "open")->c_str());
+  CHECK_TRUE(Chart->isFinal("gone"));
+}
+
+TEST(StateChart, RefusesAnEventThatAStateDoesNotTake) {
+  const auto Chart = StateChart::parse(Door, "door");
+  const auto Next = Chart->next("ajar", "burn");
+  CHECK_TRUE(!Next.has_value());
+  CHECK_TRUE(ResultCode::EventNotAllowed == Next.error().Code);
+}
+
+TEST(StateChart, FindsUnreachableStatesAndMissingEvents) {
+  STRCMP_EQUAL("t.yaml: No state takes the event c. State z cannot be reached.",
+               faultsOf("initial: x\nfinal: [y]\nevents: [a, c]\n"
+                        "states:\n  x: {a: y}\n  z: {a: y}\n")
+                   .c_str());
+}
+
+TEST(StateChart, FindsWaysToWhatIsNotDeclared) {
+  STRCMP_EQUAL("t.yaml: State q is not declared.",
+               faultsOf("initial: x\nfinal: []\nevents: [a]\n"
+                        "states:\n  x: {a: q}\n")
+                   .c_str());
+}
+
+TEST(StateChart, LoadsEveryChartThatTheProgramsUse) {
+  const auto Charts = StateCharts::load(std::string(SOURCE_FOLDER) + "/charts");
+  CHECK_TEXT(Charts.has_value(), Charts ? "" : Charts.error().Detail.c_str());
+}
+
+TEST(StateChart, CountsEventsThatAMachineRefuses) {
+  const auto Chart = StateChart::parse(Door, "door");
+  Metrics Figures;
+  StateMachine Machine(*Chart, Figures);
+  CHECK_TRUE(Machine.take("open"));
+  CHECK_FALSE(Machine.take("burn"));
+  STRCMP_EQUAL("ajar", Machine.state().c_str());
+  LONGS_EQUAL(1, Figures.dump()->getValue<int>(EventsNotAllowed));
+}
--- /dev/null
+++ b/tests/config/SettingsTest.cpp
@@ -0,0 +1,62 @@
+#include "config/Settings.h"
+
+#include <fstream>
+
+#include <Poco/TemporaryFile.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+TEST_GROUP(Settings) {
+  Poco::TemporaryFile File;
+
+  Expected<Settings> read(const std::string &Text,
+                          const std::vector<std::string> &Overrides = {}) {
+    std::ofstream(File.path()) << Text;
+    return readSettings(File.path(), Overrides);
+  }
+  std::string faultOf(const std::string &Text) {
+    const auto Read = read(Text);
+    return Read ? std::string()
+                : Read.error().Detail.substr(File.path().size());
+  }
+};
+
+TEST(Settings, LetsOverridesGoBeforeTheFile) {
+  const auto Read = read("node: a\nslots: 4\n", {"slots=9"});
+  CHECK_TRUE(Read.has_value());
+  STRCMP_EQUAL("a", Read->Node.c_str());
+  UNSIGNED_LONGS_EQUAL(9, Read->Slots);
+}
+
+TEST(Settings, NamesLineAndNearestKeyForAnUnknownOne) {
+  STRCMP_EQUAL(":2: unknown key \"slosts\"; did you mean \"slots\"?.",
+               faultOf("node: a\nslosts: 4\n").c_str());
+}
+
+TEST(Settings, RefusesNumbersOutOfRange) {
+  STRCMP_EQUAL(":1: key \"slots\" must be a whole number from 1 to 4096.",
+               faultOf("slots: -1\n").c_str());
+  STRCMP_EQUAL(":1: key \"slots\" must be a whole number from 1 to 4096.",
+               faultOf("slots: 99999999999999999999\n").c_str());
+}
+
+TEST(Settings, RefusesBrokenYaml) { CHECK_TRUE(!faultOf("node: [\n").empty()); }
+
+TEST(Settings, RequiresWhatAnAgentNeeds) {
+  Settings Agent;
+  Agent.Node = "n";
+  const auto Checked = checkAgentSettings(Agent);
+  CHECK_TRUE(!Checked.has_value());
+  CHECK_TRUE(ResultCode::SettingsInvalid == Checked.error().Code);
+}
+
+TEST(Settings, RefusesASilenceShorterThanTheIsolation) {
+  Settings Entry;
+  Entry.Node = "n";
+  Entry.StoreAddress = "127.0.0.1:1";
+  CHECK_TRUE(checkEntrySettings(Entry).has_value());
+  Entry.WorkerSilenceMs = Entry.IsolationMs;
+  CHECK_TRUE(!checkEntrySettings(Entry).has_value());
+}
