--- a/include/baobabcove/ResultCode.h
+++ b/include/baobabcove/ResultCode.h
@@ -37,6 +37,7 @@
   OutcomeTableFull = 1207,
   PinExpired = 1208,
   Withdrawn = 1209,
+  Starting = 1210,
   OutcomeUnknown = 1301,
   DeadlineAfterStart = 1302,
   AgentLost = 1303,
--- a/include/baobabcove/Scheduler.h
+++ b/include/baobabcove/Scheduler.h
@@ -85,7 +85,14 @@
 };
 
 /// Why a gang is stopped.
-enum class StopReason { Cancelled, Reclaimed, Compacted, Outranked, Broken };
+enum class StopReason {
+  Cancelled,
+  Reclaimed,
+  Compacted,
+  Outranked,
+  Drained,
+  Broken
+};
 
 /// The printed form of \p Reason.
 const char *stopReasonName(StopReason Reason);
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -53,6 +53,8 @@
        "Check at the service whether the request ran."},
       {C::Withdrawn, "Withdrawn", NotRun, 503,
        "Send it again; the earlier delivery will not run."},
+      {C::Starting, "Starting", NotRun, 503,
+       "Send it again; another instance will take it."},
       {C::OutcomeUnknown, "OutcomeUnknown", Unknown, 502,
        "Ask again with the same idempotency key, or check at the service."},
       {C::DeadlineAfterStart, "DeadlineAfterStart", Unknown, 504,
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -12,6 +12,8 @@
 
 constexpr Milliseconds HousekeepingPeriod{100};
 constexpr Milliseconds WatchPause{300};
+constexpr Milliseconds ConfigurationPatience{2000};
+constexpr Milliseconds ConfigurationLook{5};
 constexpr Milliseconds DrainCallPatience{1000};
 /// Members silent for this long are forgotten.
 constexpr Milliseconds MemberMemory{600000};
@@ -88,13 +90,17 @@
   if (!Calls)
     return tl::unexpected<Error>(Calls.error());
   Rpc = std::move(*Calls);
+  ConfigurationWatch = std::thread([this] { watchConfiguration(); });
+  // Callers are served once their tokens are known, or the store is down.
+  const Instant GiveUp = monotonicNow() + ConfigurationPatience;
+  while (!ConfigurationRead && monotonicNow() < GiveUp)
+    std::this_thread::sleep_for(ConfigurationLook);
   auto Served =
       serveHttp(Of.HttpAddress, limitsOf(Of),
                 [this](const HttpRequest &Request) { return onHttp(Request); });
   if (!Served)
     return tl::unexpected<Error>(Served.error());
   Http = std::move(*Served);
-  ConfigurationWatch = std::thread([this] { watchConfiguration(); });
   Book.start([this](const StoredJob &Job) { Coordinating->jobChanged(Job); });
   Housekeeping = std::thread([this] { housekeepingLoop(); });
   Role->start(Rpc->address());
@@ -173,6 +179,7 @@
     if (Snapshot) {
       for (const StoreEntry &Entry : Snapshot->Entries)
         Offer(Entry);
+      ConfigurationRead = true;
       (void)WatchPlatform->watch("config/", Snapshot->Revision, Offer,
                                  Stopping);
     }
@@ -286,9 +293,10 @@
 
 HttpResponse EntryProcess::health(const HttpRequest &, const std::string &) {
   auto Body = makeDump();
-  Body->set("status", Draining ? "draining" : "ready");
+  const bool Starting = Keeper.version() == ConfigurationVersion();
+  Body->set("status", Draining ? "draining" : Starting ? "starting" : "ready");
   HttpResponse Response = jsonAnswer(Body);
-  if (Draining)
+  if (Draining || Starting)
     Response.Status = resultInfo(ResultCode::Draining).HttpStatus;
   return Response;
 }
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -105,6 +105,7 @@
   std::atomic<bool> Draining{false};
   std::atomic<bool> Leaving{false};
   std::atomic<bool> Registered{false};
+  std::atomic<bool> ConfigurationRead{false};
   std::atomic<bool> Stopping{false};
   /// When the coordinator's entry last answered, less the age of its role.
   std::atomic<Instant> CoordinatorSeenAt{Instant()};
--- a/src/http/Access.cpp
+++ b/src/http/Access.cpp
@@ -13,6 +13,10 @@
 Expected<Identity> identify(const HttpRequest &Request,
                             const Configuration &Present) {
   static const std::string Scheme = "Bearer ";
+  // Before a process has its first configuration it knows no token at all.
+  if (Present.Operators.empty())
+    return failure(ResultCode::Starting,
+                   "This instance has no configuration yet.");
   const std::string Header = Request.header("authorization");
   if (Header.rfind(Scheme, 0) != 0 || Header.size() > MaxTokenBytes)
     return failure(ResultCode::MissingToken,
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -14,6 +14,8 @@
     return "compacted";
   case StopReason::Outranked:
     return "outranked";
+  case StopReason::Drained:
+    return "drained";
   case StopReason::Broken:
     break;
   }
--- a/src/scheduler/SchedulerCore.h
+++ b/src/scheduler/SchedulerCore.h
@@ -76,6 +76,7 @@
   void releaseQuarantined(Instant Now);
   void startReady();
   void claimPlanned();
+  void emptyDraining(Instant Now);
   void endImpossible(Instant Now);
   void rankWaiting(Instant Now);
   double rankOf(const Job &Waits, Instant Now) const;
--- a/src/scheduler/SchedulerDecide.cpp
+++ b/src/scheduler/SchedulerDecide.cpp
@@ -56,6 +56,7 @@
   startReady();
   if (Traits.Reclaims)
     claimPlanned();
+  emptyDraining(Now);
   endImpossible(Now);
   rankWaiting(Now);
   startWaiting(Now);
@@ -87,6 +88,22 @@
   }
 }
 
+/// Gangs on a worker in graceful shutdown move on by checkpoint. One that is
+/// not idempotent is left to its end, as a failed checkpoint would lose it.
+void Scheduler::Core::emptyDraining(Instant Now) {
+  for (WorkerIndex Index = 0; Index < OnWorker.size(); ++Index) {
+    if (!Workers.worker(Index).Present || !Workers.worker(Index).Info.Draining)
+      continue;
+    for (Job *Gang : OnWorker[Index]) {
+      if (Gang->Phase != JobPhase::Running || !Gang->Info.Idempotent)
+        continue;
+      stopGang(*Gang, StopReason::Drained, true,
+               Options.PatientCheckpointDeadline);
+      Gang->StopBy = Now + Options.PatientCheckpointDeadline;
+    }
+  }
+}
+
 /// A gang that waits as a borrower for others to leave at their leisure is
 /// considered anew once its workspace's guarantee covers it.
 void Scheduler::Core::claimPlanned() {
--- a/tests/fault/JobFaultTest.cpp
+++ b/tests/fault/JobFaultTest.cpp
@@ -1,5 +1,6 @@
+#include "Callers.h"
 #include "Deployment.h"
-#include "GangJournal.h"
+#include "JobSite.h"
 
 #include <map>
 #include <random>
@@ -12,65 +13,6 @@
 
 namespace {
 
-/// A part may outlive its gang by one lease and the time to act on it.
-constexpr std::int64_t LeaseMs = 7500;
-constexpr std::uint32_t WorkerSize = 8;
-
-void sleepMs(int Ms) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(Ms));
-}
-
-std::string gang(int Tasks, int Accelerators, int WorkMs,
-                 bool Idempotent = true, const std::string &More = "") {
-  return "{\"tasks\":" + std::to_string(Tasks) +
-         ",\"accelerators_per_task\":" + std::to_string(Accelerators) +
-         ",\"idempotent\":" + (Idempotent ? "true" : "false") +
-         ",\"payload\":\"work_ms=" + std::to_string(WorkMs) + "\"" + More + "}";
-}
-
-/// A deployment with workers, and the jobs submitted to it.
-class JobSite {
-public:
-  explicit JobSite(DeploymentPlan Plan) : Plan(Plan), Site(Plan) {}
-
-  /// Submits a gang of whole workers.
-  std::string submit(int Entry, int Tasks, int WorkMs, bool Idempotent = true) {
-    const std::string Id =
-        Site.submit(Entry, gang(Tasks, WorkerSize, WorkMs, Idempotent));
-    Sizes[Id] = static_cast<std::uint32_t>(Tasks) * WorkerSize;
-    return Id;
-  }
-
-  std::vector<PartRun> parts() const {
-    std::vector<PartRun> All;
-    for (int I = 0; I < Plan.Workers; ++I) {
-      const std::string Name = "worker-" + std::to_string(I);
-      for (const PartRun &Part : readParts(Site.journal(Name)))
-        All.push_back(Part);
-    }
-    return All;
-  }
-
-  /// The first rule that was broken, or an empty text.
-  std::string broken() const {
-    const auto Faults = gangFaults(parts(), Sizes, LeaseMs);
-    return Faults.empty() ? std::string() : Faults[0];
-  }
-
-  /// Attempts of a job that any worker began.
-  std::size_t attemptsRun(const std::string &Id) const {
-    std::map<std::uint64_t, bool> Seen;
-    for (const PartRun &Part : parts())
-      if (Part.Job == Id)
-        Seen[Part.Attempt] = true;
-    return Seen.size();
-  }
-
-  const DeploymentPlan Plan;
-  Deployment Site;
-  std::map<std::string, std::uint32_t> Sizes;
-};
-
 DeploymentPlan plan(int Entries, int Workers) {
   DeploymentPlan Plan;
   Plan.Entries = Entries;
@@ -185,7 +127,7 @@
   // Longer than the coordinator's lease and the gang's.
   sleepMs(7000);
   const CallResult Refused = Jobs.Site.call(
-      0, "POST", "/v1/jobs", gang(1, 1, 100), Deployment::CallerToken);
+      0, "POST", "/v1/jobs", gangSpec(1, 1, 100), Deployment::CallerToken);
   STRCMP_EQUAL("not run", Refused.Outcome.c_str());
   // A process that begins meanwhile gets the configuration from its peers.
   CHECK_TRUE(Jobs.Site.restartWorkerAgent(2));
@@ -211,12 +153,13 @@
     const std::string Key = "job-" + std::to_string(N);
     std::string Id;
     CHECK_TRUE(Deployment::waitFor([&] {
-      Id = Jobs.Site.submit(N % 2, gang(1, 8, 300), Key);
+      Id = Jobs.Site.submit(N % 2, gangSpec(1, 8, 300), Key);
       return !Id.empty();
     }));
     Ids[Key] = Id;
-    STRCMP_EQUAL(Id.c_str(),
-                 Jobs.Site.submit((N + 1) % 2, gang(1, 8, 300), Key).c_str());
+    STRCMP_EQUAL(
+        Id.c_str(),
+        Jobs.Site.submit((N + 1) % 2, gangSpec(1, 8, 300), Key).c_str());
   }
   for (const auto &[Key, Id] : Ids) {
     CHECK_TRUE(Jobs.Site.waitJob(0, Id, wire::DONE, 60));
@@ -302,7 +245,7 @@
   }));
   const Instant Asked = monotonicNow();
   const CallResult Claimed = Jobs.Site.call(
-      0, "POST", "/v1/jobs", gang(1, 8, 300, true, ",\"urgent\":true"),
+      0, "POST", "/v1/jobs", gangSpec(1, 8, 300, true, ",\"urgent\":true"),
       Deployment::OtherToken);
   wire::JobRecord Record;
   CHECK_TRUE(fromJson(Claimed.Body, Record).has_value());
--- a/tests/fault/RequestFaultTest.cpp
+++ b/tests/fault/RequestFaultTest.cpp
@@ -1,3 +1,4 @@
+#include "Callers.h"
 #include "Deployment.h"
 
 #include <atomic>
@@ -13,117 +14,6 @@
 
 namespace {
 
-/// What callers got, by key.
-struct Tally {
-  std::mutex Mutex;
-  std::map<std::string, CallResult> Last;
-  std::vector<std::string> Wrong;
-  /// Callers that go on until told.
-  std::atomic<bool> Stop{false};
-
-  void note(const std::string &Key, const std::string &Body,
-            const CallResult &Result) {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    Last[Key] = Result;
-    if (Result.Status == 200 && Result.Body != "answer:" + Body)
-      Wrong.push_back(Key + " got " + Result.Body);
-  }
-
-  /// The answers of callers that were not served.
-  std::string unanswered() const {
-    std::string Text;
-    for (const auto &[Key, Result] : Last)
-      if (Result.Outcome != "answered")
-        Text += Key + ": " + Result.Body + "\n";
-    return Text;
-  }
-
-  std::size_t count(const std::string &Outcome) {
-    std::size_t Count = 0;
-    for (const auto &[Key, Result] : Last)
-      Count += Result.Outcome == Outcome ? 1 : 0;
-    return Count;
-  }
-};
-
-/// Keys that ran, out of journal lines "time run workspace/key body".
-std::set<std::string> keysRun(const std::vector<std::string> &Lines) {
-  std::set<std::string> Keys;
-  for (const std::string &Line : Lines) {
-    const std::size_t Slash = Line.find('/');
-    Keys.insert(Line.substr(Slash + 1, Line.find(' ', Slash) - Slash - 1));
-  }
-  return Keys;
-}
-
-/// The first rule that was broken, or an empty text.
-std::string broken(Tally &Got, Deployment &Site) {
-  if (!Got.Wrong.empty())
-    return "wrong answer: " + Got.Wrong[0];
-  const auto Lines = Site.minionRuns();
-  const auto Twice = ranTwice(Lines);
-  if (!Twice.empty())
-    return "ran twice: " + Twice[0];
-  const auto Ran = keysRun(Lines);
-  for (const auto &[Key, Result] : Got.Last) {
-    if (Result.Outcome == "not run" && Ran.count(Key) != 0)
-      return "told not run, but ran: " + Key;
-    if (Result.Outcome == "answered" && Ran.count(Key) == 0)
-      return "answered, but did not run: " + Key;
-  }
-  return {};
-}
-
-/// Sends keyed requests that are not idempotent and repeats each by its key
-/// through the next entry until the outcome is known or tries run out.
-void callerLoop(Deployment &Site, Tally &Got, int Caller, int Count,
-                const std::string &Work, int Entries, bool Keyed = true) {
-  for (int N = 0; N < Count && !Got.Stop; ++N) {
-    const std::string Key =
-        "k" + std::to_string(Caller) + "-" + std::to_string(N);
-    const std::string Body = Key + " " + Work;
-    CallResult Result;
-    for (int Try = 0; Try < 8; ++Try) {
-      Result = Site.request((Caller + Try) % Entries, Body, false,
-                            Keyed ? Key : "", 4000);
-      if (Result.Outcome == "answered")
-        break;
-      if (Result.Body.find("PinExpired") != std::string::npos)
-        break;
-      if (!Keyed)
-        break;
-      std::this_thread::sleep_for(std::chrono::milliseconds(150));
-    }
-    if (Result.Outcome.empty())
-      Result.Outcome = "unknown";
-    Got.note(Key, Body, Result);
-  }
-}
-
-class Callers {
-public:
-  Callers(Deployment &Site, Tally &Got, int Threads, int Count,
-          const std::string &Work, int Entries, bool Keyed = true) {
-    for (int I = 0; I < Threads; ++I)
-      List.emplace_back([&Site, &Got, I, Count, Work, Entries, Keyed] {
-        callerLoop(Site, Got, I, Count, Work, Entries, Keyed);
-      });
-  }
-  void join() {
-    for (std::thread &Each : List)
-      if (Each.joinable())
-        Each.join();
-  }
-  ~Callers() { join(); }
-
-private:
-  std::vector<std::thread> List;
-};
-
-void sleepMs(int Ms) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(Ms));
-}
-
 DeploymentPlan plan(int Entries, int Minions) {
   DeploymentPlan Plan;
   Plan.Entries = Entries;
@@ -139,7 +29,7 @@
   Deployment Site(plan(2, 3));
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 8, 25, "work=60", 2);
+  Callers Load(Site, Got, {8, 25, "work=60", 2});
   for (int I = 0; I < 4; ++I) {
     sleepMs(400);
     CHECK_TRUE(Site.restartEntry(I % 2));
@@ -156,7 +46,7 @@
   Deployment Site(plan(2, 3));
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 8, 20, "work=60", 2);
+  Callers Load(Site, Got, {8, 20, "work=60", 2});
   sleepMs(500);
   CHECK_TRUE(Site.restartMinionAgent(0));
   sleepMs(500);
@@ -172,7 +62,7 @@
   Deployment Site(plan(2, 3));
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 8, 20, "work=60", 2);
+  Callers Load(Site, Got, {8, 20, "work=60", 2});
   sleepMs(500);
   CHECK_TRUE(Site.restartMinion(0));
   Load.join();
@@ -186,7 +76,7 @@
   Deployment Site(Plan);
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 8, 25, "work=60", 2);
+  Callers Load(Site, Got, {8, 25, "work=60", 2});
   sleepMs(400);
   for (int I = 0; I < 3; ++I)
     CHECK_TRUE(Site.orderAgentProxy(I, "/silence"));
@@ -201,7 +91,7 @@
   Deployment Site(Plan);
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 8, 25, "work=60", 2);
+  Callers Load(Site, Got, {8, 25, "work=60", 2});
   for (int I = 0; I < 6; ++I) {
     sleepMs(250);
     CHECK_TRUE(Site.orderAgentProxy(I % 3, "/cut"));
@@ -279,7 +169,7 @@
   CHECK_TRUE(Site.ready());
   CHECK_TRUE(Site.orderStore("/lose?count=10"));
   Tally Got;
-  Callers Load(Site, Got, 4, 15, "work=5", 2);
+  Callers Load(Site, Got, {4, 15, "work=5", 2});
   Load.join();
   STRCMP_EQUAL("", broken(Got, Site).c_str());
   LONGS_EQUAL(60, Got.count("answered"));
@@ -310,7 +200,7 @@
   Deployment Site(plan(2, 2));
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 6, 60, "work=40", 2);
+  Callers Load(Site, Got, {6, 60, "work=40", 2});
   sleepMs(500);
   CHECK_TRUE(Deployment::order(Site.minion(0).value("http"), "/order/drain"));
   // The promise is a few seconds.
@@ -326,7 +216,7 @@
   Deployment Site(plan(2, 2));
   CHECK_TRUE(Site.ready());
   Tally Got;
-  Callers Load(Site, Got, 6, 30, "work=80", 2);
+  Callers Load(Site, Got, {6, 30, "work=80", 2});
   sleepMs(500);
   Site.minionAgent(0).terminate();
   CHECK_TRUE(Site.minionAgent(0).waitEnd(20));
--- a/tests/http/AccessTest.cpp
+++ b/tests/http/AccessTest.cpp
@@ -35,6 +35,11 @@
   CHECK_TRUE(ResultCode::WrongToken == codeOf(identify(Request, Present)));
 }
 
+TEST(Access, CallsNoTokenWrongBeforeThereIsAConfiguration) {
+  token("one");
+  CHECK_TRUE(ResultCode::Starting == codeOf(identify(Request, {})));
+}
+
 TEST(Access, RefusesACallerWhatIsForOperators) {
   token("one");
   CHECK_TRUE(ResultCode::WrongWorkspace ==
