--- a/tests/config/ConfigurationTest.cpp
+++ b/tests/config/ConfigurationTest.cpp
@@ -89,6 +89,20 @@
   CHECK_TRUE(Shapes[0].Near == Adjacency::SameRack);
 }
 
+TEST(Configuration, LoadsTheSamplesOfBothDeployments) {
+  for (const char *Site : {"kumasaka", "skoljka"}) {
+    const auto Files = readConfigurationFolder(std::string(SOURCE_FOLDER) +
+                                               "/samples/" + Site);
+    CHECK_TRUE(Files.has_value());
+    wire::ConfigurationBundle Bundle;
+    for (const auto &File : *Files)
+      *Bundle.add_files() = File;
+    const auto Report = readConfiguration(Bundle);
+    STRCMP_EQUAL("", faults(Report).c_str());
+    LONGS_EQUAL(4, Report.Result.Workspaces.size());
+  }
+}
+
 TEST(Configuration, NamesTheFilesThatDiffer) {
   const auto Names = changedFiles(bundle({{"a", "1"}, {"b", "2"}, {"c", "3"}}),
                                   bundle({{"a", "1"}, {"b", "x"}, {"d", "4"}}));
--- a/tests/config/SettingsTest.cpp
+++ b/tests/config/SettingsTest.cpp
@@ -1,4 +1,5 @@
 #include "config/Settings.h"
+#include "base/Text.h"
 
 #include <fstream>
 
@@ -42,6 +43,17 @@
                faultOf("slots: 99999999999999999999\n").c_str());
 }
 
+TEST(Settings, AreAllNamedInTheDocs) {
+  std::string Docs;
+  CHECK_TRUE(
+      readFile(std::string(SOURCE_FOLDER) + "/docs/CONFIGURATION.md", Docs));
+  for (const SettingKey &Key : settingKeys()) {
+    const std::string Row =
+        "| `" + std::string(Key.Key) + "` | " + std::string(Key.Help) + " |";
+    CHECK_TEXT(Docs.find(Row) != std::string::npos, Row.c_str());
+  }
+}
+
 TEST(Settings, RefusesBrokenYaml) { CHECK_TRUE(!faultOf("node: [\n").empty()); }
 
 TEST(Settings, RequiresWhatAnAgentNeeds) {
