--- a/benchmarks/SchedulerBenchmark.cpp
+++ b/benchmarks/SchedulerBenchmark.cpp
@@ -46,6 +46,7 @@
       Policy.workerSeen(Info, Now);
     }
     std::vector<WorkspaceGuarantee> Guarantees;
+    Guarantees.reserve(49);
     for (int I = 0; I < 49; ++I)
       Guarantees.push_back({WorkspaceId("w" + std::to_string(I)),
                             {{static_cast<std::uint32_t>(Workers / 98), 8,
--- a/programs/policy_bench/Workload.cpp
+++ b/programs/policy_bench/Workload.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::int64_t HourMs = 3600 * 1000;
+constexpr std::int64_t HourMs = 3600LL * 1000;
 constexpr std::int64_t HorizonMs = 24 * HourMs;
 constexpr std::uint32_t AcceleratorsPerWorker = 8;
 constexpr double LieFactor = 10;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 git ls-files '*.cpp' ':!generated' |
-  { xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet || true; } >build/lint.txt 2>&1
+  { xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet || true; } >build/lint.txt 2>/dev/null
 if grep -qE 'error:|warning:' build/lint.txt; then
   cat build/lint.txt
   exit 1
--- a/src/base/StateChart.cpp
+++ b/src/base/StateChart.cpp
@@ -67,8 +67,11 @@
   if (Found.empty())
     return Chart;
   std::string Detail = Source + ":";
-  for (const std::string &Fault : Found)
-    Detail += " " + Fault + ".";
+  for (const std::string &Fault : Found) {
+    Detail += " ";
+    Detail += Fault;
+    Detail += ".";
+  }
   return failure(ResultCode::StateChartInvalid, Detail);
 }
 
@@ -96,8 +99,8 @@
     for (const auto &[Event, Target] : Ways) {
       Used.insert(Event);
       if (Events.count(Event) == 0)
-        Found.push_back("Event " + Event + " of state " + State +
-                        " is not declared");
+        Found.push_back(
+            std::string("Event ").append(Event).append(" is not declared"));
       if (States.count(Target) == 0 && Final.count(Target) == 0)
         Found.push_back("State " + Target + " is not declared");
     }
