--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -194,6 +194,8 @@
       Parts->add(Row);
     }
     Out->set("parts", Parts);
+    Out->set("stops_waiting", Worker->stopsWaiting());
+    Out->set("part_events_refused", Worker->refusedEvents());
     Out->set("draining", Worker->draining());
   }
   Out->set("figures", Figures.dump());
--- a/src/agent/WorkerGuard.cpp
+++ b/src/agent/WorkerGuard.cpp
@@ -280,6 +280,11 @@
   return Status;
 }
 
+std::uint64_t WorkerGuard::refusedEvents() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Parts.refusedEvents();
+}
+
 bool WorkerGuard::waitIdle(Milliseconds Patience) {
   std::unique_lock<std::mutex> Lock(Mutex);
   return Wake.wait_for(Lock, Patience, [&] {
--- a/src/agent/WorkerGuard.h
+++ b/src/agent/WorkerGuard.h
@@ -47,6 +47,10 @@
   /// Whether no new parts are taken.
   bool draining() const { return !Life.is("accepting"); }
   std::string life() const { return Life.state(); }
+  /// Stops that wait for a thread.
+  std::size_t stopsWaiting() const { return Stops.fill(); }
+  /// Events of parts that the task chart did not allow.
+  std::uint64_t refusedEvents() const;
   void raiseEpoch(Epoch Heard);
   /// An entry answered a heartbeat sent at \p SentAt; it had contact with the
   /// coordinator \p CoordinatorAge before.
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -385,6 +385,15 @@
   Out->set("events_waiting", Events.fill());
   Out->set("events_capacity", Events.capacity());
   Out->set("events_refused", Events.refused());
+  std::size_t OrdersWaiting = 0;
+  std::size_t OrdersRefused = 0;
+  for (const auto &Ring : Orders) {
+    OrdersWaiting += Ring->fill();
+    OrdersRefused += Ring->refused();
+  }
+  Out->set("orders_waiting", OrdersWaiting);
+  Out->set("orders_capacity", ActorCount * OrderCapacity);
+  Out->set("orders_refused", OrdersRefused);
   Out->set("records_waiting", Records.size());
   Out->set("gangs", Gangs.all().size());
   Out->set("workers_known", Workers.size());
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -323,7 +323,7 @@
   Out->set("highest_epoch", HighestEpoch.load());
   Out->set("jobs_known", Book.all().size());
   Out->set("following_store", Book.following());
-  Out->set("requests_waiting", const_cast<Router &>(Routes).pool().waiting());
+  Out->set("requests_waiting", Routes.pool().waiting());
   Out->set("members", Known.all().size());
   Out->set("coordinator", Coordinating->dump());
   Out->set("figures", Figures.dump());
--- a/src/entry/Router.h
+++ b/src/entry/Router.h
@@ -33,6 +33,7 @@
   wire::ExecuteReply route(RouteRequest Request);
 
   MinionPool &pool() { return Pool; }
+  const MinionPool &pool() const { return Pool; }
 
 private:
   wire::ExecuteReply routeFree(RouteRequest &Request);
