--- a/programs/policy_bench/FakeCell.cpp
+++ b/programs/policy_bench/FakeCell.cpp
@@ -18,15 +18,6 @@
 /// Targets: work within its guarantee starts within these.
 constexpr Milliseconds ReclaimTarget{30000};
 constexpr Milliseconds UrgentTarget{2300};
-constexpr std::uint32_t WorkerSize = 8;
-
-std::uint32_t sizeOf(const JobInfo &Info) {
-  return Info.Tasks * Info.AcceleratorsPerTask;
-}
-
-double seconds(Milliseconds Duration) {
-  return static_cast<double>(Duration.count()) / 1000;
-}
 
 /// Takes room for a gang out of the free sizes of a workspace's cells.
 bool embed(std::vector<std::uint32_t> &Cells, const JobInfo &Info) {
--- a/programs/policy_bench/Measures.cpp
+++ b/programs/policy_bench/Measures.cpp
@@ -10,15 +10,6 @@
 /// Target: a job that can run starts within this.
 constexpr Milliseconds StartTarget{24LL * 3600 * 1000};
 constexpr std::uint32_t LargeGang = 16;
-constexpr std::uint32_t WorkerSize = 8;
-
-std::uint32_t sizeOf(const JobInfo &Info) {
-  return Info.Tasks * Info.AcceleratorsPerTask;
-}
-
-double seconds(Milliseconds Duration) {
-  return static_cast<double>(Duration.count()) / 1000;
-}
 
 double quantile(std::vector<double> Values, double Share) {
   if (Values.empty())
--- a/programs/policy_bench/Measures.h
+++ b/programs/policy_bench/Measures.h
@@ -4,6 +4,8 @@
 #ifndef BAOBABCOVE_POLICY_BENCH_MEASURES_H
 #define BAOBABCOVE_POLICY_BENCH_MEASURES_H
 
+#include "baobabcove/Scheduler.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,6 +13,18 @@
 
 namespace baobabcove::bench {
 
+/// Accelerators of a fake worker.
+inline constexpr std::uint32_t WorkerSize = 8;
+
+/// Accelerators of a whole gang.
+inline std::uint32_t sizeOf(const JobInfo &Info) {
+  return Info.Tasks * Info.AcceleratorsPerTask;
+}
+
+inline double seconds(Milliseconds Duration) {
+  return static_cast<double>(Duration.count()) / 1000;
+}
+
 /// What a run is measured by. Times are in seconds.
 struct Measures {
   double MeanCompletion = 0;
--- a/src/scheduler/GuaranteePacking.cpp
+++ b/src/scheduler/GuaranteePacking.cpp
@@ -10,10 +10,6 @@
 /// More than the accelerators of any rack.
 constexpr std::uint64_t RackScale = 1 << 20;
 
-bool contains(const std::vector<CellIndex> &List, CellIndex Index) {
-  return std::find(List.begin(), List.end(), Index) != List.end();
-}
-
 } // namespace
 
 std::uint32_t Guarantees::workerSize() const {
--- a/src/scheduler/Guarantees.cpp
+++ b/src/scheduler/Guarantees.cpp
@@ -35,10 +35,6 @@
   return 3;
 }
 
-bool contains(const std::vector<CellIndex> &List, CellIndex Index) {
-  return std::find(List.begin(), List.end(), Index) != List.end();
-}
-
 } // namespace
 
 std::vector<Guarantees::Cell>
--- a/src/scheduler/Guarantees.h
+++ b/src/scheduler/Guarantees.h
@@ -19,6 +19,11 @@
 /// Position of a cell in its table.
 using CellIndex = std::uint32_t;
 
+/// Whether a list of cells names \p Index.
+inline bool contains(const std::vector<CellIndex> &List, CellIndex Index) {
+  return std::find(List.begin(), List.end(), Index) != List.end();
+}
+
 /// Part of a cell that a gang uses.
 struct CellUse {
   CellIndex Cell = 0;
