Let requests wait for the minions of an entry that has just begun

When both entries are replaced within one heartbeat, no agent knows a living entry; it asks the store only after 4 s of silence, since a refused connection was still counted as answering for 2 s, and an entry that had just begun refused with NoMinion at once. Callers that try eight times in 1.2 s gave up. Not the cause: key claims (every key ran at most once) and the start of the entry itself.

Change: for 4 s after its start the pool queues requests until minions have announced themselves (64 at most); a line whose last heartbeat failed no longer counts as answering, so that agents ask the store after 2.5 s.

Before: the new test WaitsForMinionsWhenEveryEntryIsKilledAtOnce fails in its first round with NoMinion; the old one fails under load.

--- a/src/entry/MinionPool.cpp
+++ b/src/entry/MinionPool.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds LongestWait{1000};
 /// Waiting requests for each slot of the service.
 constexpr std::size_t WaitersPerSlot = 1;
+/// Requests that may wait before the slots of a service are known.
+constexpr std::size_t WaitersInWarmUp = 64;
 constexpr double LatencyShare = 0.2;
 /// A minion this many times slower than the median is held for one step
 /// farther away.
@@ -20,11 +22,19 @@
 constexpr Milliseconds LongestEjection{30000};
 constexpr double FartherStep = 10;
 constexpr double JitterShare = 0.01;
+/// An entry that has just begun may not have heard of every agent. An agent
+/// that must ask the store for the new entry's address takes this long.
+constexpr Milliseconds WarmUp{4000};
+
+tl::unexpected<Error> noMinion() {
+  return failure(ResultCode::NoMinion, "No live minion answers the service.");
+}
 
 } // namespace
 
 MinionPool::MinionPool(const Settings &Of, const Members &Known)
-    : Of(Of), Known(Known), Dice(std::random_device{}()) {}
+    : Of(Of), Known(Known), WarmUntil(monotonicNow() + WarmUp),
+      Dice(std::random_device{}()) {}
 
 int MinionPool::distance(const MemberRecord &Candidate) const {
   const wire::Location &There = Candidate.Beat.location();
@@ -110,6 +120,12 @@
   ++ByWorkspace[Workspace];
 }
 
+/// Requests that may wait for a slot of a service.
+std::size_t MinionPool::roomFor(const std::string &Service, Instant Now) const {
+  const std::size_t Room = slotsOf(Service) * WaitersPerSlot;
+  return Now < WarmUntil ? std::max(Room, WaitersInWarmUp) : Room;
+}
+
 std::size_t MinionPool::slotsOf(const std::string &Service) const {
   std::size_t Slots = 0;
   for (const auto &Each : Known.alive(
@@ -152,17 +168,17 @@
 Expected<MemberRecord> MinionPool::acquire(const SlotRequest &Wanted) {
   std::unique_lock<std::mutex> Lock(Mutex);
   Waiter Mine;
+  const Instant Now = monotonicNow();
   if (Waiters.empty()) {
     const Pick Result = pick(Wanted, Mine.Member);
     if (Result == Pick::Found) {
       take(Mine.Member.Beat.node(), Wanted.Workspace);
       return Mine.Member;
     }
-    if (Result == Pick::None)
-      return failure(ResultCode::NoMinion,
-                     "No live minion answers the service.");
+    if (Result == Pick::None && Now >= WarmUntil)
+      return noMinion();
   }
-  const bool Full = Waiters.size() >= slotsOf(Wanted.Service) * WaitersPerSlot;
+  const bool Full = Waiters.size() >= roomFor(Wanted.Service, Now);
   if (Full && !makeRoomFor(Wanted.Workspace))
     return failure(ResultCode::Overloaded,
                    "Every slot is in use and the queue is full.");
@@ -171,7 +187,7 @@
   const auto Place = Waiters.insert(Waiters.end(), &Mine);
   serveWaiters();
   const Instant GiveUp =
-      std::min(Wanted.Deadline, monotonicNow() + LongestWait);
+      std::min(Wanted.Deadline, std::max(Now + LongestWait, WarmUntil));
   Mine.Ready.wait_until(Lock, GiveUp,
                         [&] { return Mine.Granted || Mine.Refused; });
   if (Mine.Granted)
@@ -183,6 +199,8 @@
   if (monotonicNow() >= Wanted.Deadline)
     return failure(ResultCode::DeadlineBeforeStart,
                    "The deadline passed while it waited for a slot.");
+  if (slotsOf(Wanted.Service) == 0)
+    return noMinion();
   return failure(ResultCode::Overloaded, "Every slot is in use.");
 }
 
--- a/src/entry/MinionPool.h
+++ b/src/entry/MinionPool.h
@@ -41,7 +41,8 @@
   MinionPool(const Settings &Of, const Members &Known);
 
   /// Waits for a slot and takes it. Fails with NoMinion, Overloaded or
-  /// DeadlineBeforeStart; nothing was sent then.
+  /// DeadlineBeforeStart; nothing was sent then. A pool that has just begun
+  /// waits for minions to announce themselves before it says NoMinion.
   Expected<MemberRecord> acquire(const SlotRequest &Wanted);
 
   /// Counts a request that goes to one given minion without waiting.
@@ -85,6 +86,7 @@
   bool ejected(const std::string &Node, Instant Now) const;
   std::uint32_t busy(const std::string &Node) const;
   void serveWaiters();
+  std::size_t roomFor(const std::string &Service, Instant Now) const;
   std::size_t slotsOf(const std::string &Service) const;
   std::size_t load(const std::string &Workspace) const;
   bool makeRoomFor(const std::string &Workspace);
@@ -93,6 +95,7 @@
 
   const Settings &Of;
   const Members &Known;
+  const Instant WarmUntil;
   mutable std::mutex Mutex;
   std::map<std::string, Minion> Minions;
   std::map<std::string, std::uint32_t> ByWorkspace;
--- a/src/membership/Announcer.cpp
+++ b/src/membership/Announcer.cpp
@@ -69,7 +69,7 @@
   const Instant Now = monotonicNow();
   std::vector<std::string> Result;
   for (const auto &[Address, Each] : Lines)
-    if (!Each->Ended && Each->AnsweredOnce &&
+    if (!Each->Ended && Each->Answers &&
         Now - Each->AnsweredAt < 2 * Period + LeastPatience)
       Result.push_back(Address);
   return Result;
@@ -82,12 +82,14 @@
   if (!Reply) {
     // The connection may be silent for good; the next beat opens another.
     Peers.forget(Mine.Address);
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Mine.Answers = false;
     return false;
   }
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Mine.AnsweredAt = monotonicNow();
-    Mine.AnsweredOnce = true;
+    Mine.Answers = true;
   }
   learn(*Reply, SentAt);
   return true;
--- a/src/membership/Announcer.h
+++ b/src/membership/Announcer.h
@@ -56,7 +56,8 @@
     Instant AnsweredAt;
     std::thread Thread;
     bool Seed = false;
-    bool AnsweredOnce = false;
+    /// Whether the last heartbeat was answered.
+    bool Answers = false;
     bool Ended = false;
   };
 
--- a/tests/fault/RequestFaultTest.cpp
+++ b/tests/fault/RequestFaultTest.cpp
@@ -42,6 +42,22 @@
   LONGS_EQUAL(200, Got.count("answered"));
 }
 
+TEST(RequestFault, WaitsForMinionsWhenEveryEntryIsKilledAtOnce) {
+  Deployment Site(plan(2, 3));
+  CHECK_TRUE(Site.ready());
+  for (int Round = 0; Round < 3; ++Round) {
+    Site.entry(0).kill();
+    Site.entry(1).kill();
+    CHECK_TRUE(Site.restartEntry(0));
+    CHECK_TRUE(Site.restartEntry(1));
+    for (int I = 0; I < 2; ++I) {
+      const std::string Key = "r" + std::to_string(Round * 2 + I);
+      const CallResult Got = Site.request(I, Key, false, Key, 15000);
+      STRCMP_EQUAL(("answer:" + Key).c_str(), Got.Body.c_str());
+    }
+  }
+}
+
 TEST(RequestFault, TellsUnknownHonestlyWhenAnAgentIsKilled) {
   Deployment Site(plan(2, 3));
   CHECK_TRUE(Site.ready());
