End a quarantine when a gang succeeds on the worker

Cause: a trial deadlocked with every worker idle and twelve jobs waiting. A gang that had begun before its worker was quarantined and then succeeded erased the worker's health record, and with it the end of the quarantine: the worker was left out for good. Ruled out: guarantee cells and misfit memory (a dump showed three of ten workers quarantined without a record).

Change: a success ends the quarantine, since what fails everything does not succeed, and the cluster is told so. A test brings it about.

--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -245,8 +245,7 @@
     return;
   if (End.Result == GangResult::Succeeded) {
     Learned.learn(Gang->Info, End.Progress);
-    for (const Member &Each : Gang->Members)
-      Health.succeeded(Each.Worker);
+    endQuarantine(Gang->Members);
     release(*Gang);
     erase(Id);
     return;
@@ -264,6 +263,19 @@
     gangStopped(*Gang, End, Now);
 }
 
+/// What succeeds on a worker shows that it is well.
+void Scheduler::Core::endQuarantine(const std::vector<Member> &Members) {
+  bool Changed = false;
+  for (const Member &Each : Members) {
+    if (!Health.succeeded(Each.Worker))
+      continue;
+    Workers.setQuarantined(Each.Worker, false);
+    Changed = true;
+  }
+  if (Changed)
+    workersChanged();
+}
+
 void Scheduler::Core::blame(const Job &Gang, const NodeId &Blamed,
                             Instant Now) {
   WorkerIndex Index = 0;
--- a/src/scheduler/SchedulerCore.h
+++ b/src/scheduler/SchedulerCore.h
@@ -70,6 +70,7 @@
   void reside(Job &Gang);
   void workersChanged();
   void gangFailed(Job &Gang, const GangEnd &End, Instant Now);
+  void endQuarantine(const std::vector<Member> &Members);
   void blame(const Job &Gang, const NodeId &Blamed, Instant Now);
   void gangStopped(Job &Gang, const GangEnd &End, Instant Now);
 
--- a/src/scheduler/WorkerHealth.cpp
+++ b/src/scheduler/WorkerHealth.cpp
@@ -25,7 +25,14 @@
   return true;
 }
 
-void WorkerHealth::succeeded(WorkerIndex Worker) { Records.erase(Worker); }
+bool WorkerHealth::succeeded(WorkerIndex Worker) {
+  const auto Found = Records.find(Worker);
+  if (Found == Records.end())
+    return false;
+  const bool Ends = Found->second.Quarantined;
+  Records.erase(Found);
+  return Ends;
+}
 
 std::vector<WorkerIndex> WorkerHealth::jobWasAtFault(const JobId &Job) {
   std::vector<WorkerIndex> Freed;
--- a/src/scheduler/WorkerHealth.h
+++ b/src/scheduler/WorkerHealth.h
@@ -20,8 +20,8 @@
   /// quarantined from now on.
   bool failed(WorkerIndex Worker, const JobId &Job, Instant Now);
 
-  /// A gang succeeded on \p Worker.
-  void succeeded(WorkerIndex Worker);
+  /// A gang succeeded on \p Worker. Returns true when that ends a quarantine.
+  bool succeeded(WorkerIndex Worker);
 
   /// \p Job failed everywhere, so its failures say nothing of workers.
   /// Returns the workers whose quarantine ends by that.
--- a/tests/scheduler/SchedulerTest.cpp
+++ b/tests/scheduler/SchedulerTest.cpp
@@ -175,6 +175,19 @@
   LONGS_EQUAL(1, Policy->figures().Quarantined);
 }
 
+TEST(Scheduler, UsesAWorkerAgainAfterAGangSucceedsOnItInQuarantine) {
+  workers(1);
+  const StartGang Lasting = startRunning(job("lasting", 1, 1));
+  for (int N = 0; N < 2; ++N) {
+    const StartGang Bad = startRunning(job("bad" + std::to_string(N), 1, 1));
+    end(Bad, GangResult::Failed, "w0");
+  }
+  LONGS_EQUAL(1, Policy->figures().Quarantined);
+  end(Lasting, GangResult::Succeeded);
+  LONGS_EQUAL(0, Policy->figures().Quarantined);
+  startRunning(job("next", 1, 8));
+}
+
 TEST(Scheduler, EndsAJobThatFailsOnDifferentWorkersWithoutBlamingThem) {
   workers(4);
   std::vector<EndJob> Ends;
