Let planned borrowers keep their workers when they cannot claim

Cause: a gang that waited as a borrower for others to leave was thrown back into the queue in every pass in which its guarantee covered it but could not be bound, so that the workers it waited for went to others; a log of plans showed the same gang planned anew every few seconds. Compaction began only after a minute of waiting.

--- a/src/scheduler/Job.h
+++ b/src/scheduler/Job.h
@@ -46,6 +46,11 @@
   Instant StopBy;
 };
 
+/// Takes a job out of a list.
+inline void removeFrom(std::vector<Job *> &From, const Job *Which) {
+  From.erase(std::remove(From.begin(), From.end(), Which), From.end());
+}
+
 } // namespace baobabcove
 
 #endif // BAOBABCOVE_SCHEDULER_JOB_H
--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -31,10 +31,6 @@
   return Rows[0];
 }
 
-template <class List> void removeFrom(List &From, const Job *Which) {
-  From.erase(std::remove(From.begin(), From.end(), Which), From.end());
-}
-
 Milliseconds backoffAfter(std::uint32_t Failures) {
   return FirstBackoff * (1U << std::min(Failures, MaxBackoffDoublings));
 }
--- a/src/scheduler/SchedulerCore.h
+++ b/src/scheduler/SchedulerCore.h
@@ -76,7 +76,7 @@
 
   void releaseQuarantined(Instant Now);
   void startReady();
-  void claimPlanned();
+  void claimPlanned(Instant Now);
   void emptyDraining(Instant Now);
   void endImpossible(Instant Now);
   void rankWaiting(Instant Now);
--- a/src/scheduler/SchedulerDecide.cpp
+++ b/src/scheduler/SchedulerDecide.cpp
@@ -25,7 +25,7 @@
 constexpr Milliseconds LongestAwait{60 * 60 * 1000};
 /// Gangs that may hold a reservation while others end.
 constexpr std::size_t MaxReservations = 2;
-constexpr Milliseconds LeastCompactionWait{60000};
+constexpr Milliseconds LeastCompactionWait{10000};
 
 bool atLeast(const Demand &Larger, const Demand &Than) {
   return Larger.Tasks >= Than.Tasks &&
@@ -34,6 +34,14 @@
          Larger.Near == Than.Near;
 }
 
+/// The order to stop a gang among the commands of this pass, or null.
+StopGang *stopOf(std::vector<Command> &Commands, const JobId &Id) {
+  for (Command &Each : Commands)
+    if (auto *Stop = std::get_if<StopGang>(&Each); Stop && Stop->Job == Id)
+      return Stop;
+  return nullptr;
+}
+
 std::vector<Member> merged(std::vector<Member> Members) {
   std::sort(
       Members.begin(), Members.end(),
@@ -55,7 +63,7 @@
     releaseQuarantined(Now);
   startReady();
   if (Traits.Reclaims)
-    claimPlanned();
+    claimPlanned(Now);
   emptyDraining(Now);
   endImpossible(Now);
   rankWaiting(Now);
@@ -104,13 +112,21 @@
   }
 }
 
-/// A gang that waits as a borrower for others to leave at their leisure is
-/// considered anew once its workspace's guarantee covers it.
-void Scheduler::Core::claimPlanned() {
+/// A gang that waits as a borrower for others to leave at their leisure claims
+/// its workspace's guarantee as soon as that covers it, and keeps its workers
+/// when it cannot.
+void Scheduler::Core::claimPlanned(Instant Now) {
   const std::vector<Job *> Before = Planned;
-  for (Job *Gang : Before)
-    if (Gang->Borrowed && Guaranteed.covers(Gang->Info.Workspace, Gang->Need))
-      unplan(*Gang);
+  for (Job *Gang : Before) {
+    if (Gang->Phase != JobPhase::Planned || !Gang->Borrowed ||
+        !Guaranteed.covers(Gang->Info.Workspace, Gang->Need))
+      continue;
+    std::vector<Member> Held = Gang->Members;
+    removeFrom(Planned, Gang);
+    release(*Gang);
+    if (!tryGuaranteed(*Gang, Now))
+      commit(*Gang, std::move(Held), true, {});
+  }
 }
 
 void Scheduler::Core::endImpossible(Instant Now) {
@@ -372,8 +388,12 @@
     if (Each->Phase != JobPhase::Stopping || Each->StopBy <= Now + Deadline)
       continue;
     Each->StopBy = Now + Deadline;
-    Commands.emplace_back(StopGang{Each->Info.Id, Each->Number,
-                                   StopReason::Reclaimed, true, Deadline});
+    const StopGang Sooner{Each->Info.Id, Each->Number, StopReason::Reclaimed,
+                          true, Deadline};
+    if (StopGang *Present = stopOf(Commands, Sooner.Job))
+      *Present = Sooner;
+    else
+      Commands.emplace_back(Sooner);
   }
 }
 
