Tell the scheduler what running gangs are measured to use

Change: a worker's task status says the memory of each task, the agent passes it on in its heartbeat, the coordinator hands it to the scheduler and counts it. The stand-in worker measures with a lag of 0.5 s.

Before: the new test ReckonsAGangByTheMemoryThatItIsMeasuredToUse fails with the report withheld (the modest job is done while the other still fills the worker). After: it passes, 4 of 4 runs at once; unit tests pass.

--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -198,6 +198,7 @@
       Row->set("phase", wire::GangPhase_Name(Part.phase()));
       Row->set("accelerators", Part.accelerators());
       Row->set("progress_ms", Part.progress_ms());
+      Row->set("memory_mb_per_task", Part.memory_mb_per_task());
       Parts->add(Row);
     }
     Out->set("parts", Parts);
--- a/src/agent/PartTable.cpp
+++ b/src/agent/PartTable.cpp
@@ -54,6 +54,7 @@
   Part.set_accelerators(Need.tasks() * Need.accelerators_per_task());
   Part.set_epoch(By.value());
   Part.set_checkpointed(Checkpointed);
+  Part.set_memory_mb_per_task(MemoryMbPerTask);
   return Part;
 }
 
@@ -222,6 +223,7 @@
     if (Found != ByName.end()) {
       Event = eventOf(Found->second->state());
       Part.Progress = Milliseconds(Found->second->progress_ms());
+      Part.MemoryMbPerTask = Found->second->memory_mb_per_task();
     } else if (Now < Part.ChangedAt + StartGrace) {
       continue;
     }
--- a/src/agent/PartTable.h
+++ b/src/agent/PartTable.h
@@ -30,6 +30,8 @@
   /// The reservation, arming or lease holds until then.
   Instant Until;
   Milliseconds Progress{0};
+  /// What each task was last measured to use.
+  std::uint64_t MemoryMbPerTask = 0;
   bool MayHaveRun = false;
   /// Whether this worker leads the gang.
   bool Leads = false;
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -314,6 +314,11 @@
   const Instant Present = monotonicNow();
   for (TrackedGang *Gang : Gangs.on(Beat.node()))
     news(*Gang, Gangs.observe(*Gang, Beat, Present));
+  for (const wire::GangPart &Part : Beat.worker().parts())
+    if (Part.phase() == wire::RUNNING && Part.memory_mb_per_task() > 0) {
+      Figures.count("usage_reports");
+      Policy->usageReported(JobId(Part.job()), Part.memory_mb_per_task());
+    }
   stopStrays(Beat);
 }
 
--- a/standins/WorkerMain.cpp
+++ b/standins/WorkerMain.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// Stand-in of a worker: runs tasks under leases on its machine's monotonic
 /// clock, writes checkpoints, and can be told to fail everything. What tasks
-/// do is said in their payload: "work_ms=N", "fail" and "checkpoint_ms=N".
+/// do is said in their payload: "work_ms=N", "fail", "checkpoint_ms=N" and
+/// "uses_mb=N", which is measured after a lag.
 
 #include "Journal.h"
 #include "base/HttpClient.h"
@@ -27,6 +28,8 @@
 /// Signs of life in the journal, so that a reader knows when it was killed.
 constexpr Milliseconds SignPeriod{100};
 constexpr std::uint64_t DefaultWorkMs = 1000;
+/// Time after its start from which the use of a task is known.
+constexpr Milliseconds UsageLag{500};
 
 std::uint64_t payloadNumber(const std::string &Payload, const std::string &Key,
                             std::uint64_t Default) {
@@ -167,6 +170,9 @@
     Status.set_id(Of.Order.id());
     Status.set_state(Of.State);
     Status.set_progress_ms(Of.ProgressMs);
+    if (monotonicNow() - Of.Started >= UsageLag)
+      Status.set_memory_mb_per_task(
+          payloadNumber(Of.Order.payload(), "uses_mb", 0));
     return Status;
   }
 
--- a/tests/fault/JobFaultTest.cpp
+++ b/tests/fault/JobFaultTest.cpp
@@ -227,6 +227,24 @@
   STRCMP_EQUAL("", Jobs.broken().c_str());
 }
 
+TEST(JobFault, ReckonsAGangByTheMemoryThatItIsMeasuredToUse) {
+  JobSite Jobs(plan(1, 1));
+  CHECK_TRUE(Jobs.Site.ready());
+  // It declares nothing and uses all but a little of its worker.
+  const std::string Liar = Jobs.Site.submit(
+      0, "{\"tasks\":1,\"accelerators_per_task\":1,\"idempotent\":true,"
+         "\"payload\":\"work_ms=12000 uses_mb=127000\"}");
+  CHECK_TRUE(Jobs.Site.waitJob(0, Liar, wire::JOB_RUNNING));
+  CHECK_TRUE(Jobs.Site.waitFor([&] {
+    const auto Dump = Jobs.Site.state(Jobs.Site.entry(0).value("http"));
+    return Dump->getObject("figures")->has("usage_reports");
+  }));
+  const std::string Modest = Jobs.Site.submit(
+      0, gangSpec(1, 1, 100, true, ",\"memory_mb_per_task\":20000"));
+  CHECK_TRUE(Jobs.Site.waitJob(0, Modest, wire::DONE));
+  CHECK_TRUE(Jobs.Site.job(0, Liar).state() == wire::DONE);
+}
+
 TEST(JobFault, ReclaimsAGuaranteeFromABorrower) {
   JobSite Jobs(plan(2, 2));
   CHECK_TRUE(Jobs.Site.ready());
