Cut two regions from each other in a test

Change: the fault-injecting proxy can bar callers by process id, which it finds by the kernel's table of sockets, so that one region's entry, agents and workers are cut from the other's and from the store while each side goes on within. ServesBothRegionsWhenTheyAreCutFromEachOther: for 14 s, longer than every lease, both entries answer requests; the side without the store refuses a job, the other one takes and runs it on its own workers; after healing all jobs are done, the one that is not idempotent ran once, gangs were whole, and a change applied through the formerly cut entry is in force everywhere.

Found: a gang that spans the cut holds the workers of the reachable side until the cut heals.

--- a/standins/ProxyMain.cpp
+++ b/standins/ProxyMain.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// A TCP proxy between two processes that injects faults by order: delay,
-/// cutting of connections, refusal of new ones, and silence for good.
+/// cutting of connections, refusal of new ones, and silence for good. Callers
+/// that name themselves by process id can be silenced apart from others, which
+/// cuts regions from each other.
 
 #include "baobabcove/Clock.h"
 #include "base/Signals.h"
@@ -8,10 +10,14 @@
 
 #include <atomic>
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <list>
 #include <memory>
 #include <mutex>
+#include <set>
+#include <sstream>
 #include <thread>
 
 #include <Poco/Net/NetException.h>
@@ -61,6 +67,92 @@
 
 Target Told;
 
+/// Processes that nothing is carried for.
+class Barred {
+public:
+  void set(const std::string &List) {
+    std::set<std::string> Fresh;
+    std::istringstream In(List);
+    for (std::string Id; std::getline(In, Id, ',');)
+      Fresh.insert(Id);
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Ids = std::move(Fresh);
+  }
+
+  /// Whether the caller of a connection is barred. \p Owner keeps its process
+  /// id once that had to be found.
+  bool has(const Poco::Net::StreamSocket &Caller, std::string &Owner) {
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      if (Ids.empty())
+        return false;
+    }
+    if (Owner.empty())
+      Owner = ownerOf(Caller);
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Ids.count(Owner) != 0;
+  }
+
+private:
+  /// The process at the other end of a connection within this machine, or an
+  /// empty text: the kernel lists the socket, and the process holds it open.
+  static std::string ownerOf(const Poco::Net::StreamSocket &Caller) {
+    std::string Inode = inodeOf(Caller, "/proc/net/tcp");
+    // Sockets of both families are listed apart.
+    if (Inode.empty())
+      Inode = inodeOf(Caller, "/proc/net/tcp6");
+    if (Inode.empty())
+      return {};
+    for (const auto &Process : std::filesystem::directory_iterator("/proc"))
+      if (holds(Process.path(), "socket:[" + Inode + "]"))
+        return Process.path().filename();
+    return {};
+  }
+
+  static bool endsWithPort(const std::string &Address, std::uint16_t Port) {
+    const std::size_t Colon = Address.rfind(':');
+    return Colon != std::string::npos &&
+           std::stoul(Address.substr(Colon + 1), nullptr, 16) == Port;
+  }
+
+  /// Lines of the table: number, local address as hexadecimal ip:port, remote
+  /// address, state, queues, timer, retransmits, user, timeout, inode.
+  static std::string inodeOf(const Poco::Net::StreamSocket &Caller,
+                             const std::string &Path) {
+    const std::uint16_t Theirs = Caller.peerAddress().port();
+    const std::uint16_t Ours = Caller.address().port();
+    std::ifstream Table(Path);
+    std::string Line;
+    std::getline(Table, Line);
+    while (std::getline(Table, Line)) {
+      std::istringstream Fields(Line);
+      std::vector<std::string> Field(10);
+      for (std::string &Each : Field)
+        Fields >> Each;
+      if (endsWithPort(Field[1], Theirs) && endsWithPort(Field[2], Ours))
+        return Field[9];
+    }
+    return {};
+  }
+
+  static bool holds(const std::filesystem::path &Process,
+                    const std::string &Socket) {
+    std::error_code Failed;
+    std::filesystem::directory_iterator Open(Process / "fd", Failed);
+    if (Failed)
+      return false;
+    for (const auto &Each : Open)
+      if (std::filesystem::read_symlink(Each.path(), Failed) == Socket)
+        return true;
+    return false;
+  }
+
+  std::mutex Mutex;
+  std::set<std::string> Ids;
+};
+
+Barred Cut;
+
 /// Bytes on their way, with the time at which they may arrive.
 struct Parcel {
   Instant Due;
@@ -108,6 +200,7 @@
 
 void carry(Poco::Net::StreamSocket Caller, std::uint64_t Number) {
   try {
+    std::string Owner;
     Poco::Net::StreamSocket Target;
     Target.connect(Poco::Net::SocketAddress(Told.address()),
                    Poco::Timespan(2, 0));
@@ -117,7 +210,7 @@
     Pump Back(Target, Caller);
     bool Open = true;
     while (Open && Number > Given.CutUpTo) {
-      if (Number <= Given.SilentUpTo) {
+      if (Number <= Given.SilentUpTo || Cut.has(Caller, Owner)) {
         std::this_thread::sleep_for(Milliseconds(PollUs / 1000));
         continue;
       }
@@ -164,6 +257,8 @@
     Given.SilentUpTo = On ? Given.Opened.load() : 0;
   else if (Request.Path == "/silence_all")
     Given.SilentUpTo = On ? UINT64_MAX : 0;
+  else if (Request.Path == "/bar")
+    Cut.set(Request.query("ids"));
   HttpResponse Response;
   Response.Body = "{\"opened\":" + std::to_string(Given.Opened) +
                   ",\"bytes\":" + std::to_string(Given.Bytes) + "}";
--- a/tests/fault/JobFaultTest.cpp
+++ b/tests/fault/JobFaultTest.cpp
@@ -20,6 +20,20 @@
   return Plan;
 }
 
+/// Two entries, two minions and four workers, of which those of odd number can
+/// be cut from the others and from the store.
+DeploymentPlan twoRegions() {
+  DeploymentPlan Plan = plan(2, 4);
+  Plan.Minions = 2;
+  Plan.ProxyAgents = Plan.ProxyWorkers = true;
+  Plan.ProxyEntries = Plan.ProxyStore = true;
+  return Plan;
+}
+
+/// Longer than the coordinator's lease, a gang's lease and the silence after
+/// which members count as lost.
+constexpr int LongerThanLeasesMs = 14000;
+
 } // namespace
 
 TEST_GROUP(JobFault){};
@@ -227,6 +241,55 @@
   STRCMP_EQUAL("", Jobs.broken().c_str());
 }
 
+TEST(JobFault, ServesBothRegionsWhenTheyAreCutFromEachOther) {
+  JobSite Jobs(twoRegions());
+  CHECK_TRUE(Jobs.Site.ready());
+  // A gang that may span the regions, and one that must run once at most.
+  const std::string Wide = Jobs.submit(0, 2, 9000);
+  const std::string Narrow = Jobs.submit(1, 1, 9000);
+  const std::string Once = Jobs.submit(1, 1, 9000, false);
+  for (const std::string &Id : {Wide, Narrow, Once})
+    CHECK_TRUE(Jobs.Site.waitJob(0, Id, wire::JOB_RUNNING));
+  CHECK_TRUE(Jobs.Site.cutRegions(true));
+  sleepMs(LongerThanLeasesMs);
+  for (int I = 0; I < 2; ++I)
+    CHECK_TRUE(Jobs.Site.waitFor([&] {
+      const std::string Body = "cut" + std::to_string(I);
+      return Jobs.Site.request(I, Body, true).Body == "answer:" + Body;
+    }));
+  STRCMP_EQUAL("", Jobs.submit(1, 1, 100).c_str());
+  CHECK_TRUE(Deployment::waitFor([&] { return Jobs.Site.coordinator() == 0; }));
+  const std::string During = Jobs.submit(0, 1, 500);
+  CHECK_TRUE(Jobs.Site.waitJob(0, During, wire::DONE, 60));
+  for (const char *Beyond : {"worker-1", "worker-3"})
+    for (const std::string &Line : Jobs.Site.journal(Beyond))
+      CHECK_TEXT(Line.find(During) == std::string::npos, Line.c_str());
+  CHECK_TRUE(Jobs.Site.cutRegions(false));
+  for (const std::string &Id : {Wide, Narrow})
+    CHECK_TRUE(Jobs.Site.waitJob(1, Id, wire::DONE, 60));
+  CHECK_TRUE(Jobs.Site.waitFor([&] {
+    const auto State = Jobs.Site.job(1, Once).state();
+    return State == wire::DONE || State == wire::JOB_FAILED;
+  }));
+  LONGS_EQUAL(1, Jobs.attemptsRun(Once));
+  STRCMP_EQUAL("", Jobs.broken().c_str());
+  LONGS_EQUAL(200, Jobs.Site.apply(1, 1, "", "after").Status);
+  CHECK_TRUE(Jobs.Site.waitFor([&] { return Jobs.Site.leastVersion() >= 2; }));
+}
+
+TEST(JobFault, FreesItsSideOfAGangThatTheCutBroke) {
+  JobSite Jobs(twoRegions());
+  CHECK_TRUE(Jobs.Site.ready());
+  // Three of four workers: it spans the regions wherever it is put.
+  const std::string Wide = Jobs.submit(0, 3, 60000);
+  CHECK_TRUE(Jobs.Site.waitJob(0, Wide, wire::JOB_RUNNING));
+  CHECK_TRUE(Jobs.Site.cutRegions(true));
+  sleepMs(LongerThanLeasesMs);
+  CHECK_TRUE(Deployment::waitFor([&] { return Jobs.Site.coordinator() == 0; }));
+  const std::string During = Jobs.submit(0, 2, 500);
+  CHECK_TRUE(Jobs.Site.waitJob(0, During, wire::DONE, 60));
+}
+
 TEST(JobFault, ReckonsAGangByTheMemoryThatItIsMeasuredToUse) {
   JobSite Jobs(plan(1, 1));
   CHECK_TRUE(Jobs.Site.ready());
--- a/tests/support/Deployment.cpp
+++ b/tests/support/Deployment.cpp
@@ -93,6 +93,36 @@
                "/target?to=" + Entries[I]->value("rpc"));
 }
 
+const Process *Deployment::proxyOf(const std::string &Kind, int I) const {
+  if (Kind == "minion")
+    return Plan.ProxyAgents ? AgentProxies[I].get() : nullptr;
+  return Plan.ProxyWorkers ? WorkerProxies[I].get() : nullptr;
+}
+
+/// The daemons of even or odd number.
+std::vector<const Process *> Deployment::region(int Odd) const {
+  std::vector<const Process *> Result;
+  for (const auto *List : {&Entries, &MinionAgents, &WorkerAgents})
+    for (std::size_t I = Odd; I < List->size(); I += 2)
+      Result.push_back((*List)[I].get());
+  return Result;
+}
+
+bool Deployment::cutRegions(bool Cut) {
+  std::string Ids[2];
+  for (int Odd = 0; Odd < 2; ++Odd)
+    for (const Process *Each : region(Odd))
+      Ids[Odd] += (Ids[Odd].empty() ? "" : ",") + Each->id();
+  const auto Bar = [&](const Process &Proxy, const std::string &From) {
+    return order(Proxy.value("control"), "/bar?ids=" + (Cut ? From : ""));
+  };
+  bool Done = Bar(*StoreProxy, Ids[1]);
+  for (const auto *List : {&EntryProxies, &AgentProxies, &WorkerProxies})
+    for (std::size_t I = 0; I < List->size(); ++I)
+      Done = Bar(*(*List)[I], Ids[1 - I % 2]) && Done;
+  return Done;
+}
+
 bool Deployment::startAgent(const std::string &Name, const std::string &Kind,
                             int I, const std::string &Target, Process &Agent) {
   // Minions and workers stand in turn in two racks.
@@ -102,19 +132,17 @@
       "\nstore_address: " + StoreAddress + "\ntarget_kind: " + Kind +
       "\ntarget_address: " + Target + "\nservice: " + Service + "\n" +
       Plan.AgentSettings;
-  const bool Proxied = Plan.ProxyAgents && Kind == "minion";
-  if (Proxied)
-    Settings +=
-        "advertised_rpc_address: " + AgentProxies[I]->value("listen") + "\n";
+  const Process *Proxy = proxyOf(Kind, I);
+  if (Proxy)
+    Settings += "advertised_rpc_address: " + Proxy->value("listen") + "\n";
   writeFile(Folder + "/" + Name + ".yaml", Settings);
   const bool Started =
       Agent.start({program("baobabcove-agent"),
                    "--settings=" + Folder + "/" + Name + ".yaml"},
                   Folder + "/" + Name + ".log");
-  if (!Started || !Proxied)
+  if (!Started || !Proxy)
     return Started;
-  return order(AgentProxies[I]->value("control"),
-               "/target?to=" + Agent.value("rpc"));
+  return order(Proxy->value("control"), "/target?to=" + Agent.value("rpc"));
 }
 
 bool Deployment::startAll() {
@@ -150,6 +178,8 @@
       return false;
   }
   for (int I = 0; I < Plan.Workers; ++I) {
+    if (Plan.ProxyWorkers)
+      WorkerProxies.push_back(StartProxy(indexed("worker-proxy", I), ""));
     Workers.push_back(std::make_unique<Process>());
     WorkerAgents.push_back(std::make_unique<Process>());
     if (!restartWorker(I) || !restartWorkerAgent(I))
--- a/tests/support/Deployment.h
+++ b/tests/support/Deployment.h
@@ -27,6 +27,8 @@
   /// Puts a proxy between the agents and each minion's callers, that is, in
   /// front of each agent's address for calls.
   bool ProxyAgents = false;
+  /// The same for the agents of workers.
+  bool ProxyWorkers = false;
   /// Puts a proxy in front of each entry's address for calls.
   bool ProxyEntries = false;
   /// Puts a proxy in front of the store.
@@ -80,6 +82,10 @@
   bool orderEntryProxy(int I, const std::string &Path);
   bool orderStoreProxy(const std::string &Path);
 
+  /// Cuts processes of odd number, with their region, from those of even
+  /// number and from the store, or heals the cut. It needs every proxy.
+  bool cutRegions(bool Cut);
+
   /// Sends a request through one entry.
   CallResult request(int Entry, const std::string &Body, bool Idempotent,
                      const std::string &Key = {}, int DeadlineMs = 5000,
@@ -129,6 +135,8 @@
   bool startEntry(int I);
   bool startAgent(const std::string &Name, const std::string &Kind, int I,
                   const std::string &Target, Process &Agent);
+  std::vector<const Process *> region(int Odd) const;
+  const Process *proxyOf(const std::string &Kind, int I) const;
   std::string baseFiles(const std::string &Extra) const;
   std::string program(const std::string &Name) const;
   std::string seeds() const;
@@ -145,6 +153,7 @@
   std::vector<std::unique_ptr<Process>> Workers;
   std::vector<std::unique_ptr<Process>> WorkerAgents;
   std::vector<std::unique_ptr<Process>> AgentProxies;
+  std::vector<std::unique_ptr<Process>> WorkerProxies;
   std::vector<std::unique_ptr<Process>> EntryProxies;
   std::vector<std::string> EntryRpc;
   /// Callers go on while entries are started again.
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -36,6 +36,7 @@
   /// Waits until the process has ended, at most \p Seconds.
   bool waitEnd(double Seconds);
   bool running() const { return Id > 0; }
+  std::string id() const { return std::to_string(Id); }
 
 private:
   pid_t Id = -1;
