Split printing and configuration verbs from baobabctl's command

Change: cli/Printing has the tables and JSON cells, with tests of its own; cli/ConfigurationVerbs.cpp has the verbs on folders, its lambdas named. Behaviour is the same.

--- a/src/cli/CtlCommand.cpp
+++ b/src/cli/CtlCommand.cpp
@@ -1,14 +1,13 @@
 #include "cli/CtlCommand.h"
 
 #include "base/Text.h"
-#include "config/Configuration.h"
+#include "base/Text.h"
+#include "cli/Printing.h"
 
 #include <algorithm>
 #include <iostream>
 #include <sstream>
 
-#include <Poco/JSON/Parser.h>
-
 namespace baobabcove {
 
 namespace {
@@ -18,56 +17,6 @@
 constexpr int HttpConflict = 409;
 constexpr std::int64_t WaitStepMs = 10000;
 
-Poco::JSON::Object::Ptr parseObject(const std::string &Text) {
-  try {
-    Poco::JSON::Parser Parser;
-    return Parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
-  } catch (const Poco::Exception &) {
-    return nullptr;
-  }
-}
-
-std::string cell(const Poco::JSON::Object::Ptr &Row, const std::string &Key) {
-  if (!Row->has(Key))
-    return "-";
-  const Poco::Dynamic::Var Value = Row->get(Key);
-  if (Value.type() == typeid(Poco::JSON::Object::Ptr)) {
-    std::ostringstream Text;
-    Value.extract<Poco::JSON::Object::Ptr>()->stringify(Text);
-    return Text.str();
-  }
-  return Value.convert<std::string>();
-}
-
-/// A dotted column, such as "spec.workspace", looks into inner objects.
-std::string column(Poco::JSON::Object::Ptr Row, std::string Key) {
-  for (std::size_t Dot = Key.find('.'); Dot != std::string::npos;
-       Dot = Key.find('.')) {
-    Row = Row->getObject(Key.substr(0, Dot));
-    if (!Row)
-      return "-";
-    Key = Key.substr(Dot + 1);
-  }
-  return cell(Row, Key);
-}
-
-void printTable(std::ostream &Out,
-                const std::vector<std::vector<std::string>> &Rows) {
-  std::vector<std::size_t> Widths;
-  for (const auto &Row : Rows) {
-    Widths.resize(std::max(Widths.size(), Row.size()));
-    for (std::size_t I = 0; I < Row.size(); ++I)
-      Widths[I] = std::max(Widths[I], Row[I].size());
-  }
-  for (const auto &Row : Rows) {
-    for (std::size_t I = 0; I < Row.size(); ++I) {
-      const bool Last = I + 1 == Row.size();
-      Out << Row[I]
-          << (Last ? "\n" : std::string(Widths[I] - Row[I].size() + 2, ' '));
-    }
-  }
-}
-
 } // namespace
 
 CtlCommand::CtlCommand(CtlOptions Options, std::ostream &Out, std::ostream &Err)
@@ -239,103 +188,6 @@
   return CtlExit::Ok;
 }
 
-Expected<wire::ConfigurationBundle> CtlCommand::presentBundle() {
-  const auto Answer = call("GET", "/v1/configuration");
-  if (!Answer)
-    return tl::unexpected<Error>(Answer.error());
-  wire::ConfigurationBundle Bundle;
-  // Before the first configuration nobody can be identified.
-  if (Answer->Status != HttpOk)
-    return Bundle;
-  if (auto Read = fromJson(Answer->Body, Bundle); !Read)
-    return tl::unexpected<Error>(Read.error());
-  return Bundle;
-}
-
-CtlExit CtlCommand::sendConfiguration(const Words &Arguments, bool CheckOnly) {
-  const auto Files = readConfigurationFolder(Arguments[0]);
-  if (!Files)
-    return report(Files.error());
-  const auto Present = presentBundle();
-  if (!Present)
-    return report(Present.error());
-  wire::ApplyRequest Change;
-  Change.set_base_version(Present->version());
-  Change.set_change_id(randomName());
-  for (const auto &File : *Files)
-    *Change.add_files() = File;
-  return printObject(call("POST",
-                          CheckOnly ? "/v1/configuration?check_only=true"
-                                    : "/v1/configuration",
-                          toJson(Change)));
-}
-
-CtlExit CtlCommand::validateConfiguration(const Words &Arguments) {
-  const auto Files = readConfigurationFolder(Arguments[0]);
-  if (!Files)
-    return report(Files.error());
-  wire::ConfigurationBundle Bundle;
-  for (const auto &File : *Files)
-    *Bundle.add_files() = File;
-  const ConfigurationReport Report = readConfiguration(Bundle);
-  for (const ConfigurationFault &Fault : Report.Faults)
-    Err << Fault.str() << '\n';
-  if (!Report.Faults.empty())
-    return CtlExit::Refused;
-  // With an entry at hand, the guarantees are checked against its workers.
-  if (!Options.Entries.empty())
-    return sendConfiguration(Arguments, true);
-  Out << "The folder is valid.\n";
-  return CtlExit::Ok;
-}
-
-CtlExit CtlCommand::diffConfiguration(const Words &Arguments) {
-  const auto Files = readConfigurationFolder(Arguments[0]);
-  if (!Files)
-    return report(Files.error());
-  const auto Present = presentBundle();
-  if (!Present)
-    return report(Present.error());
-  wire::ConfigurationBundle Wanted;
-  for (const auto &File : *Files)
-    *Wanted.add_files() = File;
-  const auto Lines = [](const std::string &Content) {
-    std::vector<std::string> Result;
-    std::istringstream In(Content);
-    for (std::string Line; std::getline(In, Line);)
-      Result.push_back(Line);
-    return Result;
-  };
-  const auto ContentOf = [](const wire::ConfigurationBundle &Bundle,
-                            const std::string &Name) {
-    for (const auto &File : Bundle.files())
-      if (File.name() == Name)
-        return File.content();
-    return std::string();
-  };
-  for (const std::string &Name : changedFiles(*Present, Wanted)) {
-    const auto Before = Lines(ContentOf(*Present, Name));
-    const auto After = Lines(ContentOf(Wanted, Name));
-    Out << Name << '\n';
-    for (const std::string &Line : Before)
-      if (std::find(After.begin(), After.end(), Line) == After.end())
-        Out << "- " << Line << '\n';
-    for (const std::string &Line : After)
-      if (std::find(Before.begin(), Before.end(), Line) == Before.end())
-        Out << "+ " << Line << '\n';
-  }
-  return CtlExit::Ok;
-}
-
-CtlExit CtlCommand::applyConfiguration(const Words &Arguments) {
-  return sendConfiguration(Arguments, false);
-}
-
-CtlExit CtlCommand::showHistory(const Words &) {
-  return printRows(call("GET", "/v1/configuration"), "history",
-                   {"version", "operator", "accepted_at_ms", "changed_files"});
-}
-
 CtlExit CtlCommand::submitJob(const Words &) {
   HttpCall Extra;
   if (!Options.Key.empty())
