--- a/src/cli/CtlCommand.cpp
+++ b/src/cli/CtlCommand.cpp
@@ -1,6 +1,5 @@
 #include "cli/CtlCommand.h"
 
-#include "base/Text.h"
 #include "base/Text.h"
 #include "cli/Printing.h"
 
