Measure takeover and configuration size against workers and workspaces

Change: measure-capacity.sh kills the coordinator with 32 to 256 workers and times its successor, and applies configurations of 50 to 1,600 workspaces. start_program empties the ready line first: a program started again under its name was taken for ready by the line of the one before (the script then read old addresses and gave up).

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,6 +6,8 @@
 start_program() {
   local name="$1"
   shift
+  # The line of an earlier program of that name must not be taken for its own.
+  : >"$RUN/$name.ready"
   "$@" >"$RUN/$name.ready" 2>"$RUN/$name.log" &
   echo $! >"$RUN/$name.pid"
   local tries=0
--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -28,6 +28,11 @@
 counters() { curl -s "http://$(ready_value store control)/" | tr -d '{}"' | tr ',' ' '; }
 stored() { counters | tr ' ' '\n' | sed -n "s/^$1://p"; }
 
+# knows_workers COUNT: the coordinator decides for that many workers.
+knows_workers() {
+  state "$ENTRY" | grep -q "\"stage\":\"deciding\".*\"workers_known\":$1[,}]"
+}
+
 deploy() { # MINIONS
   start_program store "$BIN/standin-store"
   cat >"$RUN/entry.yaml" <<EOF
@@ -124,6 +129,41 @@
   stop_everything
 done
 
+# The coordinator is killed and replaced; its successor must wait for the old
+# lease, then hear every worker and ask it for its parts.
+for workers in 32 64 128 256; do
+  deploy 0
+  start_program proxy "$BIN/standin-proxy" --target="$(ready_value entry rpc)"
+  start_program fleet "$BIN/standin-fleet" --entry="$(ready_value proxy listen)" --workers=$workers --parts=4
+  wait_until 20 knows_workers $workers
+  kill -KILL "$(cat "$RUN/entry.pid")"
+  began=$(date +%s%3N)
+  start_program entry "$BIN/baobabcove-entry" --settings="$RUN/entry.yaml"
+  ENTRY=$(ready_value entry http)
+  curl -s "http://$(ready_value proxy control)/target?to=$(ready_value entry rpc)" >/dev/null
+  wait_until 30 knows_workers $workers
+  record takeover_by_workers $workers $(($(date +%s%3N) - began)) ms
+  stop_everything
+done
+
+for workspaces in 50 200 800 1600; do
+  deploy 0
+  before=$(field "$ENTRY" resident_kib)
+  mkdir -p "$RUN/many"
+  cp "$RUN/config/all.yaml" "$RUN/many/"
+  for n in $(seq 1 $workspaces); do
+    echo "workspaces: {w$n: {tokens: [$("$BIN/baobabctl" digest "w$n")], max_requests: 100}}"
+  done | split -l 1 -a 4 --additional-suffix=.yaml - "$RUN/many/w-"
+  began=$(date +%s%3N)
+  "$BIN/baobabctl" --entry="$ENTRY" --token=$TOKEN config apply "$RUN/many" >/dev/null
+  record apply_time_by_workspaces $workspaces $(($(date +%s%3N) - began)) ms
+  sleep 1
+  record entry_memory_growth_by_workspaces $workspaces \
+    $(($(field "$ENTRY" resident_kib) - before)) KiB
+  rm -rf "$RUN/many"
+  stop_everything
+done
+
 echo
 echo "Fitted slopes (value = base + slope * size):"
 awk -F'[:,"}]+' '
