--- a/src/cli/ConfigurationVerbs.cpp
+++ b/src/cli/ConfigurationVerbs.cpp
@@ -15,6 +15,15 @@
 
 using Lines = std::vector<std::string>;
 
+/// The files of a folder as a configuration that has no version yet.
+wire::ConfigurationBundle
+bundleOf(const std::vector<wire::ConfigurationFile> &Files) {
+  wire::ConfigurationBundle Bundle;
+  for (const auto &File : Files)
+    *Bundle.add_files() = File;
+  return Bundle;
+}
+
 /// The lines of one file of a configuration; none when it has no such file.
 Lines linesOf(const wire::ConfigurationBundle &Bundle,
               const std::string &Name) {
@@ -74,10 +83,7 @@
   const auto Files = readConfigurationFolder(Arguments[0]);
   if (!Files)
     return report(Files.error());
-  wire::ConfigurationBundle Bundle;
-  for (const auto &File : *Files)
-    *Bundle.add_files() = File;
-  const ConfigurationReport Report = readConfiguration(Bundle);
+  const ConfigurationReport Report = readConfiguration(bundleOf(*Files));
   for (const ConfigurationFault &Fault : Report.Faults)
     Err << Fault.str() << '\n';
   if (!Report.Faults.empty())
@@ -96,9 +102,7 @@
   const auto Present = presentBundle();
   if (!Present)
     return report(Present.error());
-  wire::ConfigurationBundle Wanted;
-  for (const auto &File : *Files)
-    *Wanted.add_files() = File;
+  const wire::ConfigurationBundle Wanted = bundleOf(*Files);
   for (const std::string &Name : changedFiles(*Present, Wanted)) {
     const Lines Before = linesOf(*Present, Name);
     const Lines After = linesOf(Wanted, Name);
