--- a/include/baobabcove/Clock.h
+++ b/include/baobabcove/Clock.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace baobabcove {
 
@@ -23,6 +24,26 @@
       std::chrono::steady_clock::now());
 }
 
+/// A point on the clock that counts on while the machine is suspended, which the
+/// monotonic clock does not. Leases and proofs of freshness are judged by it.
+using BootInstant = std::chrono::time_point<struct BootClock, Milliseconds>;
+
+struct BootClock {
+  using duration = Milliseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = BootInstant;
+  static constexpr bool is_steady = true;
+  static time_point now() {
+    timespec Time{};
+    clock_gettime(CLOCK_BOOTTIME, &Time);
+    return time_point(
+        std::chrono::duration_cast<Milliseconds>(
+            std::chrono::seconds(Time.tv_sec) +
+            std::chrono::nanoseconds(Time.tv_nsec)));
+  }
+};
+
 /// Milliseconds since the Unix epoch, for records that people read.
 inline std::int64_t wallClockMs() {
   const auto Now = std::chrono::system_clock::now().time_since_epoch();
--- /dev/null
+++ b/programs/TaskAgentMain.cpp
@@ -0,0 +1,3 @@
+#include "platform/Daemons.h"
+
+int main() { return baobabcove::platform::runAgent(); }
--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -62,6 +62,11 @@
     IdleSessions.push_back(std::move(Idle));
 }
 
+void HttpClient::forgetIdle() {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  IdleSessions.clear();
+}
+
 Expected<HttpAnswer> HttpClient::call(const HttpCall &Call) {
   bool Sent = false;
   try {
@@ -89,6 +94,7 @@
       giveBack(std::move(Taken));
     return Answer;
   } catch (const Poco::Exception &Fault) {
+    forgetIdle();
     return failure(
         Sent ? ResultCode::OutcomeUnknown : ResultCode::PeerUnreachable,
         "HTTP call to " + Address + " failed: " + Fault.displayText());
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -63,6 +63,9 @@
   using Session = std::unique_ptr<Poco::Net::HTTPClientSession>;
   Session take(const HttpCall &Call);
   void giveBack(Session Idle);
+  /// Closes the idle connections: when one has fallen silent, those opened
+  /// beside it usually have too.
+  void forgetIdle();
 
   const std::string Address;
   std::mutex Mutex;
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -49,10 +49,10 @@
 } // namespace
 
 void startLogging(const std::string &Program, const std::string &Node,
-                  LogFormat Format) {
+                  LogFormat Format, LogTarget Target) {
   log4cplus::initialize();
   log4cplus::SharedAppenderPtr Console(
-      new log4cplus::ConsoleAppender(true, true));
+      new log4cplus::ConsoleAppender(Target == LogTarget::StandardError, true));
   Console->setLayout(makeLayout(Program, Node, Format));
   auto Root = log4cplus::Logger::getRoot();
   Root.removeAllAppenders();
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -14,10 +14,14 @@
 /// How log lines look.
 enum class LogFormat { Text, Json };
 
-/// Sends the logs of this process to standard error. \p Program and \p Node
-/// stand in every line.
+/// Where log lines go.
+enum class LogTarget { StandardError, StandardOutput };
+
+/// Sends the logs of this process to \p Target. \p Program and \p Node stand
+/// in every line.
 void startLogging(const std::string &Program, const std::string &Node,
-                  LogFormat Format);
+                  LogFormat Format,
+                  LogTarget Target = LogTarget::StandardError);
 
 /// The logger of one part of the system, such as "router".
 log4cplus::Logger logOf(const std::string &Part);
--- a/src/base/Signals.cpp
+++ b/src/base/Signals.cpp
@@ -12,6 +12,7 @@
   sigaddset(&Set, SIGTERM);
   sigaddset(&Set, SIGINT);
   sigaddset(&Set, SIGUSR1);
+  sigaddset(&Set, SIGHUP);
   return Set;
 }
 
@@ -23,15 +24,19 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForStop(const std::function<void()> &OnDump) {
+void waitForStop(const std::function<void()> &OnDump,
+                 const std::function<void()> &OnReload) {
   const sigset_t Set = daemonSignals();
   for (;;) {
     int Signal = 0;
     if (sigwait(&Set, &Signal) != 0)
       continue;
-    if (Signal != SIGUSR1)
+    if (Signal == SIGUSR1)
+      OnDump();
+    else if (Signal == SIGHUP)
+      OnReload();
+    else
       return;
-    OnDump();
   }
 }
 
--- a/src/base/Signals.h
+++ b/src/base/Signals.h
@@ -1,5 +1,5 @@
 /// \file
-/// Signals of a daemon: stop, state dump.
+/// Signals of a daemon: stop, reload, state dump.
 
 #ifndef BAOBABCOVE_BASE_SIGNALS_H
 #define BAOBABCOVE_BASE_SIGNALS_H
@@ -13,8 +13,9 @@
 void blockSignals();
 
 /// Waits for SIGTERM or SIGINT, then returns. Calls \p OnDump for each
-/// SIGUSR1 in the meantime.
-void waitForStop(const std::function<void()> &OnDump);
+/// SIGUSR1 and \p OnReload for each SIGHUP in the meantime.
+void waitForStop(const std::function<void()> &OnDump,
+                 const std::function<void()> &OnReload = [] {});
 
 } // namespace baobabcove
 
--- a/src/rpc/Rpc.h
+++ b/src/rpc/Rpc.h
@@ -6,8 +6,10 @@
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/ResultCode.h"
+#include "tasks.pb.h"
 #include "wire.pb.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -37,6 +39,11 @@
   virtual wire::CommandReply drain(const wire::DrainRequest &Request) = 0;
 };
 
+/// Answers an agent's report about its worker with orders. Called from several
+/// threads at once; may wait as long as the report says.
+using TaskCellHandler =
+    std::function<wire::TaskOrders(const wire::TaskReport &)>;
+
 /// A listening server. Stops accepting when destroyed.
 class RpcServer {
 public:
@@ -50,11 +57,12 @@
   virtual void shutdown(Milliseconds Patience) = 0;
 };
 
-/// Serves on \p Address; port 0 takes any free port. Either handler may be
+/// Serves on \p Address; port 0 takes any free port. Each handler may be
 /// null. Fails with SettingsInvalid when the address cannot be bound.
 Expected<std::unique_ptr<RpcServer>> serveRpc(const std::string &Address,
                                               EntryHandler *EntrySide,
-                                              AgentHandler *AgentSide);
+                                              AgentHandler *AgentSide,
+                                              TaskCellHandler CellSide = {});
 
 /// Channels to peers by address, opened on first use. A channel that carries
 /// pings without answers is closed and opened anew by its keep-alive, so that
@@ -93,6 +101,10 @@
                                      const wire::DrainRequest &Request,
                                      Milliseconds Patience);
 
+  Expected<wire::TaskOrders> attend(const std::string &Address,
+                                    const wire::TaskReport &Request,
+                                    Milliseconds Patience);
+
   /// Drops the channel to \p Address, so that the next call opens a new one.
   void forget(const std::string &Address);
 
--- a/src/rpc/RpcPeers.cpp
+++ b/src/rpc/RpcPeers.cpp
@@ -1,4 +1,5 @@
 #include "rpc/Rpc.h"
+#include "tasks.grpc.pb.h"
 #include "wire.grpc.pb.h"
 
 #include <grpcpp/grpcpp.h>
@@ -58,9 +59,10 @@
 
 struct RpcPeers::Peer {
   explicit Peer(const std::shared_ptr<grpc::Channel> &Channel)
-      : OfEntry(Channel), OfAgent(Channel) {}
+      : OfEntry(Channel), OfAgent(Channel), OfCell(Channel) {}
   wire::Entry::Stub OfEntry;
   wire::Agent::Stub OfAgent;
+  wire::TaskCell::Stub OfCell;
 };
 
 RpcPeers::RpcPeers() = default;
@@ -136,4 +138,11 @@
                   Patience);
 }
 
+Expected<wire::TaskOrders> RpcPeers::attend(const std::string &Address,
+                                            const wire::TaskReport &Request,
+                                            Milliseconds Patience) {
+  return callPeer(peer(Address)->OfCell, &wire::TaskCell::Stub::Attend, Request,
+                  Patience);
+}
+
 } // namespace baobabcove
--- a/src/rpc/RpcServer.cpp
+++ b/src/rpc/RpcServer.cpp
@@ -1,4 +1,5 @@
 #include "rpc/Rpc.h"
+#include "tasks.grpc.pb.h"
 #include "wire.grpc.pb.h"
 
 #include <grpcpp/grpcpp.h>
@@ -72,11 +73,27 @@
   AgentHandler *Handler;
 };
 
+class TaskCellService : public wire::TaskCell::Service {
+public:
+  explicit TaskCellService(TaskCellHandler Handler)
+      : Handler(std::move(Handler)) {}
+
+  grpc::Status Attend(grpc::ServerContext *, const wire::TaskReport *Request,
+                      wire::TaskOrders *Reply) override {
+    *Reply = Handler(*Request);
+    return grpc::Status::OK;
+  }
+
+private:
+  TaskCellHandler Handler;
+};
+
 class GrpcServer : public RpcServer {
 public:
-  GrpcServer(EntryHandler *EntrySide, AgentHandler *AgentSide)
-      : OfEntry(EntrySide), OfAgent(AgentSide), HasEntry(EntrySide),
-        HasAgent(AgentSide) {}
+  GrpcServer(EntryHandler *EntrySide, AgentHandler *AgentSide,
+             const TaskCellHandler &CellSide)
+      : OfEntry(EntrySide), OfAgent(AgentSide), OfCell(CellSide),
+        HasEntry(EntrySide), HasAgent(AgentSide), HasCell(CellSide) {}
 
   ~GrpcServer() override { shutdown(Milliseconds(0)); }
 
@@ -97,6 +114,8 @@
       Builder.RegisterService(&OfEntry);
     if (HasAgent)
       Builder.RegisterService(&OfAgent);
+    if (HasCell)
+      Builder.RegisterService(&OfCell);
     Server = Builder.BuildAndStart();
     Bound = Wanted.substr(0, Wanted.rfind(':') + 1) + std::to_string(Port);
     return Server && Port != 0;
@@ -112,8 +131,10 @@
 private:
   EntryService OfEntry;
   AgentService OfAgent;
+  TaskCellService OfCell;
   const bool HasEntry;
   const bool HasAgent;
+  const bool HasCell;
   std::unique_ptr<grpc::Server> Server;
   std::string Bound;
 };
@@ -122,8 +143,9 @@
 
 Expected<std::unique_ptr<RpcServer>> serveRpc(const std::string &Address,
                                               EntryHandler *EntrySide,
-                                              AgentHandler *AgentSide) {
-  auto Server = std::make_unique<GrpcServer>(EntrySide, AgentSide);
+                                              AgentHandler *AgentSide,
+                                              TaskCellHandler CellSide) {
+  auto Server = std::make_unique<GrpcServer>(EntrySide, AgentSide, CellSide);
   if (!Server->listen(Address))
     return failure(ResultCode::SettingsInvalid,
                    "Cannot listen on " + Address + ".");
--- /dev/null
+++ b/src/tasks/BoardPlanning.cpp
@@ -0,0 +1,282 @@
+/// \file
+/// The part of the board that makes the planner's picture and carries out
+/// its plan.
+
+#include "base/Log.h"
+#include "base/LogFields.h"
+#include "tasks/TaskBoard.h"
+
+#include <algorithm>
+
+namespace baobabcove {
+
+namespace {
+
+/// An accelerator counts as this many cores when work is thrown away (the
+/// users' prices).
+constexpr double CoresPerAccelerator = 8;
+/// A unit that waits longer than this share of its duration may run away from
+/// its data, which takes longer by the remote penalty.
+constexpr double FarPatience = 2;
+
+/// Ranks: the guaranteed first, then those that can still be on time, then
+/// those that can only be late, then the rest.
+constexpr double GuaranteedRank = 0;
+constexpr double OnTimeRank = 1e6;
+constexpr double LateRank = 2e6;
+constexpr double HopelessRank = 3e6;
+/// Between the priorities of queues within one class of ranks.
+constexpr double PriorityRank = 1e5;
+
+/// Up to this multiple of its objective a job still counts as served.
+constexpr double LateLimit = 3;
+
+/// Cores that the room stands for.
+double weight(const Room &Takes) {
+  return double(Takes.MilliCores) / 1000 +
+         CoresPerAccelerator * double(Takes.Accelerators);
+}
+
+log4cplus::Logger runLog() { return logOf("run"); }
+
+std::string stepKey(const TaskName &Name) {
+  return Name.Job.str() + "." + std::to_string(Name.Occurrence) + "." +
+         std::to_string(Name.Step);
+}
+
+} // namespace
+
+void TaskBoard::plan(const std::vector<wire::TaskReport> &Open,
+                     const QueueConfig &Config, const BoardTime &Now) {
+  PlanInput Input = picture(Open, Config, Now);
+  if (Input.Units.empty())
+    return;
+  const TaskPlan Plan = planTasks(Input);
+  apply(Plan, Input, Now);
+}
+
+PlanInput TaskBoard::picture(const std::vector<wire::TaskReport> &Open,
+                             const QueueConfig &Config, const BoardTime &Now) {
+  PlanInput Input;
+  std::map<WorkerLife, std::size_t> Position;
+  for (const wire::TaskReport &Report : Open) {
+    PlanWorker Worker;
+    Worker.Life = WorkerLife(Report.worker());
+    Worker.Service = ServiceName(Report.service());
+    Worker.Rack = RackName(Report.rack());
+    Worker.Labels.assign(Report.labels().begin(), Report.labels().end());
+    Worker.Capacity = {Report.milli_cores(), Report.memory_mb(),
+                       Report.accelerators()};
+    Worker.Free = Worker.Capacity;
+    Worker.Open = !Report.draining() &&
+                  !Suspicion.isSuspected(NodeId(Report.node()), Now.Boot);
+    Position[Worker.Life] = Input.Workers.size();
+    Input.Workers.push_back(std::move(Worker));
+  }
+  const std::set<JobId> Guaranteed = guaranteedJobs(Config);
+  for (auto &[Id, Job] : Jobs) {
+    if (Job.EndedMs)
+      continue;
+    const bool Urgent = Guaranteed.count(Id) > 0;
+    for (std::size_t At = 0; At < Job.size(); ++At) {
+      const TaskState &Task = Job.task(At);
+      const auto Where = Position.find(Task.Worker);
+      if (Task.Phase != wire::TASK_PLACED || Where == Position.end())
+        continue;
+      const Room Takes = roomOf(Job.step(At));
+      PlanWorker &Worker = Input.Workers[Where->second];
+      Worker.Free -= Takes;
+      ++Input.OnWorker[{stepKey(Job.name(At)), Where->second}];
+      if (Task.StopWanted)
+        Worker.Leaving += Takes;
+      else if (Task.Seen && !Urgent && !Job.step(At).long_running()) {
+        const double Ran =
+            double((Now.Boot - Task.PlacedAt).count()) / 1000;
+        const double Members =
+            Job.step(At).gang() ? double(Job.step(At).count()) : 1.0;
+        Input.Stoppable.push_back(
+            {Where->second, Id, At, Takes,
+             (Job.step(At).checkpointing() ? 1.0 : Ran + 0.1) * Members *
+                 weight(Takes)});
+      }
+    }
+    if (!Job.isOver())
+      addUnits(Job, Urgent, Now, Input);
+  }
+  return Input;
+}
+
+std::set<JobId> TaskBoard::guaranteedJobs(const QueueConfig &Config) const {
+  std::map<std::string, std::vector<const TaskJob *>> ByWorkspace;
+  for (const auto &[Id, Job] : Jobs)
+    if (!Job.EndedMs && !Job.isOver() && Job.spec().priority() == 0)
+      ByWorkspace[Job.spec().workspace()].push_back(&Job);
+  std::set<JobId> Guaranteed;
+  for (auto &[Workspace, Urgent] : ByWorkspace) {
+    const auto Rule = Config.Workspaces.find(WorkspaceId(Workspace));
+    if (Rule == Config.Workspaces.end())
+      continue;
+    std::sort(Urgent.begin(), Urgent.end(),
+              [](const TaskJob *L, const TaskJob *R) {
+                return L->spec().accepted_ms() < R->spec().accepted_ms();
+              });
+    std::int64_t Left = Rule->second.GuaranteedAccelerators;
+    for (const TaskJob *Job : Urgent) {
+      std::int64_t Need = 0;
+      for (const wire::StepSpec &Step : Job->spec().steps())
+        Need += Step.count() * Step.accelerators();
+      if (Need > Left)
+        continue;
+      Left -= Need;
+      Guaranteed.insert(Job->id());
+    }
+  }
+  return Guaranteed;
+}
+
+double TaskBoard::rankOf(const TaskJob &Job, std::uint32_t Occurrence,
+                         const BoardTime &Now) const {
+  const wire::TaskJobSpec &Spec = Job.spec();
+  const std::int64_t Since =
+      std::max(Spec.accepted_ms(), Job.dueMs(Occurrence));
+  // The longest chain of steps, by the time that each is expected to take,
+  // whole and as far as it is not done yet.
+  std::vector<double> Whole;
+  std::vector<double> Left;
+  double Work = 0;
+  for (int S = 0; S < Spec.steps_size(); ++S) {
+    const wire::StepSpec &Step = Spec.steps(S);
+    const auto Took = double(
+        Durations.expected(Spec.queue(), Milliseconds(Step.estimate_ms()))
+            .count());
+    double Before = 0;
+    double LeftBefore = 0;
+    for (std::uint32_t Earlier : Step.after()) {
+      Before = std::max(Before, Whole[Earlier]);
+      LeftBefore = std::max(LeftBefore, Left[Earlier]);
+    }
+    const bool Done =
+        Job.isStepDone(Occurrence, static_cast<std::uint32_t>(S));
+    Whole.push_back(Before + Took);
+    Left.push_back(LeftBefore + (Done ? 0 : Took));
+    if (!Done)
+      Work += Took / 1000 * double(Step.count()) * weight(roomOf(Step));
+  }
+  const double Chain = *std::max_element(Whole.begin(), Whole.end());
+  const double Remaining = *std::max_element(Left.begin(), Left.end());
+  const double Objective =
+      Spec.stretch() * Chain + double(Spec.target_latency_ms());
+  const double Age = double(Now.UnixMs - Since);
+  const double Class = Age + Remaining <= Objective ? OnTimeRank
+                       : Age + Remaining <= LateLimit * Objective
+                           ? LateRank
+                           : HopelessRank;
+  return Class + PriorityRank * double(std::min(Spec.priority(), 8U)) +
+         std::min(Work, PriorityRank / 2);
+}
+
+PlanUnit TaskBoard::unitOf(const TaskJob &Job, std::uint32_t Occurrence,
+                           std::uint32_t Step, bool Guaranteed,
+                           const BoardTime &Now) const {
+  PlanUnit Unit;
+  Unit.Job = Job.id();
+  Unit.Step = &Job.spec().steps(static_cast<int>(Step));
+  Unit.Service = ServiceName(Job.spec().service());
+  Unit.StepKey = stepKey({Job.id(), Occurrence, Step, 0});
+  Unit.Guaranteed = Guaranteed;
+  Unit.Rank = rankOf(Job, Occurrence, Now);
+  if (Guaranteed)
+    Unit.Rank = GuaranteedRank + double(Job.spec().accepted_ms() % 100000);
+  const auto Took = Durations.expected(
+      Job.spec().queue(), Milliseconds(Unit.Step->estimate_ms()));
+  const auto Waited =
+      Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
+  Unit.MayRunFar = double(Waited) > FarPatience * double(Took.count());
+  return Unit;
+}
+
+void TaskBoard::addUnits(TaskJob &Job, bool Guaranteed, const BoardTime &Now,
+                         PlanInput &Into) {
+  const auto MayStart = [&](std::size_t At) {
+    if (Job.task(At).Phase != wire::TASK_WAITING)
+      return false;
+    const auto Paused = NotBefore.find(toText(Job.name(At)));
+    return Paused == NotBefore.end() || Paused->second <= Now.Boot;
+  };
+  for (std::uint32_t K = 0; K < Job.occurrences(); ++K) {
+    for (int S = 0; S < Job.spec().steps_size(); ++S) {
+      const auto Step = static_cast<std::uint32_t>(S);
+      const std::size_t First = Job.first(K, Step);
+      const std::size_t Count = Job.spec().steps(S).count();
+      if (Job.isStepDone(K, Step) || !Job.isStepReady(K, Step, Now.UnixMs))
+        continue;
+      PlanUnit Unit = unitOf(Job, K, Step, Guaranteed, Now);
+      for (std::size_t At = First; At < First + Count; ++At)
+        if (MayStart(At))
+          Unit.Tasks.push_back(At);
+      if (Job.spec().steps(S).gang()) {
+        if (Unit.Tasks.size() == Count)
+          Into.Units.push_back(std::move(Unit));
+        continue;
+      }
+      for (std::size_t At : Unit.Tasks) {
+        PlanUnit Single = Unit;
+        Single.Tasks = {At};
+        Into.Units.push_back(std::move(Single));
+      }
+    }
+  }
+}
+
+void TaskBoard::apply(const TaskPlan &Plan, const PlanInput &Input,
+                      const BoardTime &Now) {
+  for (const PlannedStart &Start : Plan.Starts) {
+    TaskJob &Job = Jobs.at(Start.Job);
+    TaskState &Task = Job.task(Start.Task);
+    // The members of a gang share the number of their run.
+    std::uint64_t Run = 0;
+    for (std::size_t Member : members({&Job, Start.Task}))
+      if (Job.task(Member).Phase != wire::TASK_PLACED || Member == Start.Task)
+        Run = std::max(Run, Job.task(Member).Run);
+    const bool Joined =
+        Job.step(Start.Task).gang() &&
+        std::any_of(Plan.Starts.begin(), Plan.Starts.end(),
+                    [&](const PlannedStart &Other) {
+                      return &Other < &Start && Other.Job == Start.Job &&
+                             Job.step(Other.Task).gang() &&
+                             stepKey(Job.name(Other.Task)) ==
+                                 stepKey(Job.name(Start.Task));
+                    });
+    if (Joined)
+      Run = Job.task(members({&Job, Start.Task}).front()).Run;
+    else
+      ++Run;
+    Task.Run = Run;
+    Task.Phase = wire::TASK_PLACED;
+    Task.Worker = Input.Workers[Start.Worker].Life;
+    Task.PlacedAt = Now.Boot;
+    Task.Seen = false;
+    Task.StopWanted = false;
+    Job.Begun = true;
+    Dirty.insert(Start.Job);
+    LOG4CPLUS_INFO(runLog(),
+                   LogFields("run placed")
+                       .add("task", toText(Job.name(Start.Task)))
+                       .add("run", Task.Run)
+                       .add("worker", Task.Worker)
+                       .add("queue", Job.spec().queue())
+                       .add("waited_ms",
+                            Now.UnixMs - Job.spec().accepted_ms()));
+  }
+  for (const PlannedStop &Stop : Plan.Stops) {
+    TaskJob &Job = Jobs.at(Stop.Job);
+    stopMembers({&Job, Stop.Task});
+    LOG4CPLUS_INFO(runLog(),
+                   LogFields("run stopped for a guarantee")
+                       .add("task", toText(Job.name(Stop.Task)))
+                       .add("run", Job.task(Stop.Task).Run)
+                       .add("worker", Job.task(Stop.Task).Worker));
+  }
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/tasks/ConfigKeeper.cpp
@@ -0,0 +1,57 @@
+#include "tasks/ConfigKeeper.h"
+
+#include "base/Log.h"
+#include "base/LogFields.h"
+
+namespace baobabcove {
+
+namespace {
+
+/// Keys are honoured only while the configuration is known to be newer than
+/// the bound on revocation (5 s on the users' sites); a watch of a second
+/// proves it several times within that.
+constexpr Milliseconds WatchWait{1000};
+
+} // namespace
+
+ConfigKeeper::ConfigKeeper(TransactionalStore &Kv, std::string Prefix,
+                           std::string Key, ConfigReader Read)
+    : Key(std::move(Key)), Read(std::move(Read)),
+      Follower(Kv, std::move(Prefix), WatchWait,
+               {[this](const StoreChanges &All) { take(All); },
+                [this](const StoreChanges &News) { take(News); }}) {}
+
+std::shared_ptr<const QueueConfig> ConfigKeeper::current() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Newest;
+}
+
+Milliseconds ConfigKeeper::age() const {
+  return BootClock::now() - Follower.provenAt();
+}
+
+void ConfigKeeper::take(const StoreChanges &Changes) {
+  for (const StoreItem &Item : Changes.Items) {
+    if (Item.Key != Key || Item.Revision == 0)
+      continue;
+    auto Config = Read(Item.Value);
+    if (!Config) {
+      LOG4CPLUS_ERROR(logOf("config"), LogFields("configuration refused")
+                                           .add("revision", Item.Revision)
+                                           .add("why", Config.error().Detail));
+      continue;
+    }
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (Newest && Config->Version <= Newest->Version)
+      continue;
+    LOG4CPLUS_INFO(logOf("config"),
+                   LogFields("configuration in force")
+                       .add("version", Config->Version)
+                       .add("before", Newest ? Newest->Version : 0)
+                       .add("queues", Config->Queues.size())
+                       .add("keys", Config->Keys.size()));
+    Newest = std::make_shared<QueueConfig>(std::move(*Config));
+  }
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/tasks/JobCatalog.cpp
@@ -0,0 +1,165 @@
+#include "tasks/JobCatalog.h"
+
+#include "base/Log.h"
+#include "base/LogFields.h"
+#include "tasks/StoreKeys.h"
+
+#include <algorithm>
+
+namespace baobabcove {
+
+namespace {
+
+/// The id in \p Key when it stands under \p Prefix.
+std::optional<JobId> idUnder(const std::string &Prefix,
+                             const std::string &Key) {
+  if (Key.rfind(Prefix, 0) != 0)
+    return std::nullopt;
+  return JobId(Key.substr(Prefix.size()));
+}
+
+} // namespace
+
+JobStatus CatalogEntry::status() const {
+  if (Completed)
+    return JobStatus::Completed;
+  if (Failed)
+    return JobStatus::Failed;
+  if (Cancelled)
+    return JobStatus::Cancelled;
+  return Begun ? JobStatus::Running : JobStatus::Pending;
+}
+
+void JobCatalog::replaceAll(const StoreChanges &All) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    std::map<JobId, CatalogEntry> Kept;
+    for (const StoreItem &Item : All.Items)
+      if (const auto Id = idUnder(keys::Jobs, Item.Key))
+        if (const auto Known = Entries.find(*Id); Known != Entries.end())
+          Kept.insert(*Known);
+    Entries = std::move(Kept);
+    Seat.reset();
+  }
+  apply(All);
+  if (Listener)
+    Listener->onSeatChange();
+}
+
+void JobCatalog::apply(const StoreChanges &Changes) {
+  // Progress and cancels of a job may be listed before the job itself.
+  for (const StoreItem &Item : Changes.Items)
+    if (idUnder(keys::Jobs, Item.Key))
+      applyItem(Item);
+  for (const StoreItem &Item : Changes.Items)
+    if (!idUnder(keys::Jobs, Item.Key))
+      applyItem(Item);
+}
+
+void JobCatalog::applyItem(const StoreItem &Item) {
+  if (const auto Job = idUnder(keys::Jobs, Item.Key))
+    applyJob(*Job, Item);
+  else if (const auto Progress = idUnder(keys::Progress, Item.Key))
+    applyProgress(*Progress, Item);
+  else if (const auto Cancel = idUnder(keys::Cancels, Item.Key);
+           Cancel && Item.Revision)
+    markCancelled(*Cancel);
+  else if (Item.Key == keys::Coordinator)
+    applySeat(Item);
+}
+
+void JobCatalog::applyJob(const JobId &Id, const StoreItem &Item) {
+  if (Item.Revision == 0) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Entries.erase(Id);
+    return;
+  }
+  auto Spec = std::make_shared<wire::TaskJobSpec>();
+  if (!Spec->ParseFromString(Item.Value)) {
+    LOG4CPLUS_ERROR(logOf("jobs"), LogFields("stored job cannot be read")
+                                       .add("job", Id)
+                                       .add("revision", Item.Revision));
+    return;
+  }
+  insert(std::move(Spec), Item.Revision);
+}
+
+void JobCatalog::insert(std::shared_ptr<const wire::TaskJobSpec> Spec,
+                        std::int64_t Revision) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    CatalogEntry &Entry = Entries[JobId(Spec->id())];
+    if (Entry.Spec)
+      return;
+    Entry.Spec = Spec;
+    Entry.Revision = Revision;
+  }
+  if (Listener)
+    Listener->onJob(std::move(Spec));
+}
+
+void JobCatalog::applyProgress(const JobId &Id, const StoreItem &Item) {
+  wire::TaskJobProgress Progress;
+  if (Item.Revision == 0 || !Progress.ParseFromString(Item.Value))
+    return;
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return;
+  Found->second.Begun = Progress.begun();
+  Found->second.Failed = Progress.failed();
+  Found->second.Completed = Progress.completed();
+}
+
+void JobCatalog::markCancelled(const JobId &Id) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    const auto Found = Entries.find(Id);
+    if (Found == Entries.end() || Found->second.Cancelled)
+      return;
+    Found->second.Cancelled = true;
+  }
+  if (Listener)
+    Listener->onCancel(Id);
+}
+
+void JobCatalog::applySeat(const StoreItem &Item) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Seat.reset();
+    if (Item.Revision)
+      Seat = CoordinatorSeat{Item.Value, Item.Revision};
+  }
+  if (Listener)
+    Listener->onSeatChange();
+}
+
+std::optional<CatalogEntry> JobCatalog::find(const JobId &Id) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+std::size_t JobCatalog::waiting(const std::string &Queue) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [&](const auto &Pair) {
+        const CatalogEntry &Entry = Pair.second;
+        return Entry.Spec->queue() == Queue &&
+               Entry.status() == JobStatus::Pending;
+      }));
+}
+
+std::size_t JobCatalog::size() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Entries.size();
+}
+
+std::optional<CoordinatorSeat> JobCatalog::seat() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Seat;
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/tasks/JobIntake.cpp
@@ -0,0 +1,106 @@
+#include "tasks/JobIntake.h"
+
+#include "base/Log.h"
+#include "base/LogFields.h"
+#include "tasks/StoreKeys.h"
+
+namespace baobabcove {
+
+namespace {
+
+tl::unexpected<Error> unknownJob(const JobId &Id) {
+  return failure(ResultCode::UnknownJob, "There is no job " + Id.str() + ".");
+}
+
+const StoreItem *itemOf(const CommitResult &Result, const std::string &Key) {
+  for (const StoreItem &Item : Result.Current)
+    if (Item.Key == Key && Item.Revision)
+      return &Item;
+  return nullptr;
+}
+
+} // namespace
+
+Expected<void> JobIntake::accept(const wire::TaskJobSpec &Spec) {
+  const JobId Id(Spec.id());
+  if (Catalog.find(Id))
+    return {};
+  Transaction Change;
+  Change.Conditions.push_back({keys::job(Id), 0});
+  Change.Writes.push_back({keys::job(Id), Spec.SerializeAsString(), 0});
+  const auto Result = Kv.commit(Change);
+  if (Result && Result->Revision) {
+    Catalog.insert(std::make_shared<wire::TaskJobSpec>(Spec), *Result->Revision);
+    return {};
+  }
+  if (Result)
+    return {}; // The same id was accepted before.
+  if (Result.error().Code != ResultCode::StoreAnswerLost)
+    return tl::unexpected<Error>(Result.error());
+  // The write may have been carried out, or may be later. Only finding the job
+  // settles it.
+  if (const auto Found = readBack(Id)) {
+    LOG4CPLUS_INFO(logOf("jobs"),
+                   LogFields("lost answer settled by reading back")
+                       .add("job", Id)
+                       .add("revision", Found->Revision));
+    return {};
+  }
+  return tl::unexpected<Error>(Result.error());
+}
+
+Expected<void> JobIntake::cancel(const JobId &Id) {
+  const auto Found = find(Id);
+  if (!Found)
+    return tl::unexpected<Error>(Found.error());
+  if (Found->Cancelled || Found->Completed || Found->Failed)
+    return {};
+  Transaction Change;
+  Change.Conditions.push_back({keys::job(Id), Found->Revision});
+  Change.Conditions.push_back({keys::cancel(Id), 0});
+  Change.Writes.push_back({keys::cancel(Id), "1", 0});
+  const auto Result = Kv.commit(Change);
+  if (!Result) {
+    const auto Written = Result.error().Code == ResultCode::StoreAnswerLost
+                             ? Kv.read(keys::cancel(Id))
+                             : Expected<std::optional<StoreItem>>();
+    if (!Written || !*Written)
+      return tl::unexpected<Error>(Result.error());
+  } else if (!Result->Revision && !itemOf(*Result, keys::cancel(Id))) {
+    return unknownJob(Id);
+  }
+  Catalog.markCancelled(Id);
+  return {};
+}
+
+Expected<JobStatus> JobIntake::status(const JobId &Id) {
+  const auto Found = find(Id);
+  if (!Found)
+    return tl::unexpected<Error>(Found.error());
+  return Found->status();
+}
+
+Expected<CatalogEntry> JobIntake::find(const JobId &Id) {
+  if (auto Known = Catalog.find(Id))
+    return *Known;
+  return readBack(Id);
+}
+
+Expected<CatalogEntry> JobIntake::readBack(const JobId &Id) {
+  const auto Item = Kv.read(keys::job(Id));
+  if (!Item)
+    return tl::unexpected<Error>(Item.error());
+  if (!*Item)
+    return unknownJob(Id);
+  Catalog.apply(StoreChanges{{**Item}, 0});
+  if (const auto Progress = Kv.read(keys::progress(Id));
+      Progress && *Progress)
+    Catalog.apply(StoreChanges{{**Progress}, 0});
+  if (const auto Cancel = Kv.read(keys::cancel(Id)); Cancel && *Cancel)
+    Catalog.markCancelled(Id);
+  if (auto Known = Catalog.find(Id))
+    return *Known;
+  return unknownJob(Id);
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/tasks/QueueConfig.cpp
@@ -0,0 +1,15 @@
+#include "tasks/QueueConfig.h"
+
+namespace baobabcove {
+
+const QueueRule *findQueue(const QueueConfig &Config, const std::string &Host,
+                           const std::string &Path) {
+  const QueueRule *Longest = nullptr;
+  for (const QueueRule &Queue : Config.Queues)
+    if (Queue.Host == Host && Path.rfind(Queue.Prefix, 0) == 0 &&
+        (!Longest || Queue.Prefix.size() > Longest->Prefix.size()))
+      Longest = &Queue;
+  return Longest;
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/tasks/StoreFollower.cpp
@@ -0,0 +1,91 @@
+#include "tasks/StoreFollower.h"
+
+#include "base/Log.h"
+#include "base/LogFields.h"
+
+namespace baobabcove {
+
+namespace {
+
+/// Between calls to a store that fails: ten processes stay far below the
+/// store's rates.
+constexpr Milliseconds RetryPause{250};
+
+} // namespace
+
+StoreFollower::StoreFollower(TransactionalStore &Kv, std::string Prefix,
+                             Milliseconds Wait, FollowerEvents Events)
+    : Kv(Kv), Prefix(std::move(Prefix)), Wait(Wait),
+      Events(std::move(Events)) {}
+
+StoreFollower::~StoreFollower() { stop(); }
+
+void StoreFollower::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void StoreFollower::stop() {
+  Stopping = true;
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void StoreFollower::run() {
+  while (!Stopping)
+    if (!(Revision == 0 ? listAll() : follow()) && !Stopping)
+      std::this_thread::sleep_for(RetryPause);
+}
+
+bool StoreFollower::listAll() {
+  const BootInstant SentAt = BootClock::now();
+  auto All = Kv.list(Prefix);
+  if (!All) {
+    noteFailure(All.error());
+    return false;
+  }
+  Revision = All->Revision;
+  Events.Listed(*All);
+  noteSuccess(SentAt);
+  return true;
+}
+
+bool StoreFollower::follow() {
+  const BootInstant SentAt = BootClock::now();
+  auto News = Kv.changes(Prefix, Revision, Wait);
+  if (!News && News.error().Code == ResultCode::CompareFailed) {
+    LOG4CPLUS_INFO(logOf("store"), LogFields("history gone, listing anew")
+                                       .add("prefix", Prefix)
+                                       .add("revision", Revision));
+    Revision = 0;
+    return true;
+  }
+  if (!News) {
+    noteFailure(News.error());
+    return false;
+  }
+  Revision = std::max(Revision, News->Revision);
+  if (!News->Items.empty())
+    Events.Changed(*News);
+  noteSuccess(SentAt);
+  return true;
+}
+
+void StoreFollower::noteFailure(const Error &Fault) {
+  if (!Lost)
+    LOG4CPLUS_WARN(logOf("store"), LogFields("store lost")
+                                       .add("prefix", Prefix)
+                                       .add("revision", Revision)
+                                       .add("why", Fault.Detail));
+  Lost = true;
+}
+
+void StoreFollower::noteSuccess(BootInstant SentAt) {
+  if (Lost)
+    LOG4CPLUS_INFO(logOf("store"), LogFields("store regained")
+                                       .add("prefix", Prefix)
+                                       .add("revision", Revision));
+  Lost = false;
+  Proven = SentAt;
+}
+
+} // namespace baobabcove
--- /dev/null
+++ b/src/tasks/StoreKeys.h
@@ -0,0 +1,30 @@
+/// \file
+/// Keys of the task scheduler in the platform's store.
+
+#ifndef BAOBABCOVE_TASKS_STOREKEYS_H
+#define BAOBABCOVE_TASKS_STOREKEYS_H
+
+#include "baobabcove/Ids.h"
+
+#include <string>
+
+namespace baobabcove::keys {
+
+/// Prefix of everything below.
+inline const std::string All = "baobabcove/";
+/// The coordinator: "NODE ADDRESS", bound to its lease.
+inline const std::string Coordinator = "baobabcove/coordinator";
+/// Accepted jobs, one key each, never rewritten.
+inline const std::string Jobs = "baobabcove/job/";
+/// How far jobs have come, written by the coordinator alone.
+inline const std::string Progress = "baobabcove/progress/";
+/// Cancelled jobs.
+inline const std::string Cancels = "baobabcove/cancel/";
+
+inline std::string job(const JobId &Id) { return Jobs + Id.str(); }
+inline std::string progress(const JobId &Id) { return Progress + Id.str(); }
+inline std::string cancel(const JobId &Id) { return Cancels + Id.str(); }
+
+} // namespace baobabcove::keys
+
+#endif // BAOBABCOVE_TASKS_STOREKEYS_H
--- /dev/null
+++ b/src/tasks/TaskJob.cpp
@@ -0,0 +1,153 @@
+#include "tasks/TaskJob.h"
+
+#include <algorithm>
+#include <array>
+
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+
+namespace baobabcove {
+
+std::string toText(const TaskName &Name) {
+  return Name.Job.str() + "." + std::to_string(Name.Occurrence) + "." +
+         std::to_string(Name.Step) + "." + std::to_string(Name.Index);
+}
+
+std::optional<TaskName> parseTaskName(const std::string &Text) {
+  const Poco::StringTokenizer Parts(Text, ".");
+  if (Parts.count() != 4)
+    return std::nullopt;
+  std::array<unsigned, 3> Numbers{};
+  for (std::size_t I = 0; I < Numbers.size(); ++I)
+    if (!Poco::NumberParser::tryParseUnsigned(Parts[I + 1], Numbers[I]))
+      return std::nullopt;
+  return TaskName{JobId(Parts[0]), Numbers[0], Numbers[1], Numbers[2]};
+}
+
+TaskJob::TaskJob(std::shared_ptr<const wire::TaskJobSpec> Of)
+    : Spec(std::move(Of)),
+      Occurrences(std::max<std::uint32_t>(1, Spec->repeat_count())) {
+  for (const wire::StepSpec &Step : Spec->steps()) {
+    StepOffsets.push_back(TasksPerOccurrence);
+    TasksPerOccurrence += Step.count();
+  }
+  Tasks.resize(TasksPerOccurrence * Occurrences);
+}
+
+void TaskJob::restore(const wire::TaskJobProgress &Stored) {
+  for (const wire::TaskRecord &Record : Stored.tasks()) {
+    const auto At = position(
+        {id(), Record.occurrence(), Record.step(), Record.index()});
+    if (!At)
+      continue;
+    TaskState &Task = Tasks[*At];
+    Task.Phase = Record.phase();
+    Task.Run = Record.run();
+    Task.Worker = WorkerLife(Record.worker());
+    Task.Failures = Record.failures();
+    Task.Checkpoint = Record.checkpoint();
+  }
+  Failed = Stored.failed();
+  Completed = Stored.completed();
+  Begun = Stored.begun();
+  EndedMs = Stored.ended_ms();
+}
+
+wire::TaskJobProgress TaskJob::progress() const {
+  wire::TaskJobProgress Stored;
+  for (std::size_t At = 0; At < Tasks.size(); ++At) {
+    const TaskState &Task = Tasks[At];
+    if (Task.Run == 0 && Task.Phase == wire::TASK_WAITING)
+      continue;
+    const TaskName Name = name(At);
+    wire::TaskRecord &Record = *Stored.add_tasks();
+    Record.set_occurrence(Name.Occurrence);
+    Record.set_step(Name.Step);
+    Record.set_index(Name.Index);
+    Record.set_phase(Task.Phase);
+    Record.set_run(Task.Run);
+    if (Task.Phase == wire::TASK_PLACED)
+      Record.set_worker(Task.Worker.str());
+    Record.set_failures(Task.Failures);
+    if (Task.Phase != wire::TASK_DONE)
+      Record.set_checkpoint(Task.Checkpoint);
+  }
+  Stored.set_failed(Failed);
+  Stored.set_completed(Completed);
+  Stored.set_begun(Begun);
+  Stored.set_ended_ms(EndedMs);
+  return Stored;
+}
+
+std::optional<std::size_t> TaskJob::position(const TaskName &Name) const {
+  if (Name.Occurrence >= Occurrences || Name.Step >= StepOffsets.size() ||
+      Name.Index >= Spec->steps(static_cast<int>(Name.Step)).count())
+    return std::nullopt;
+  return first(Name.Occurrence, Name.Step) + Name.Index;
+}
+
+TaskName TaskJob::name(std::size_t At) const {
+  const std::size_t Within = At % TasksPerOccurrence;
+  const auto Next =
+      std::upper_bound(StepOffsets.begin(), StepOffsets.end(), Within);
+  // Steps without tasks share an offset; the last of them holds the task.
+  const auto Step = static_cast<std::uint32_t>(Next - StepOffsets.begin() - 1);
+  return {id(), static_cast<std::uint32_t>(At / TasksPerOccurrence), Step,
+          static_cast<std::uint32_t>(Within - StepOffsets[Step])};
+}
+
+const wire::StepSpec &TaskJob::step(std::size_t At) const {
+  return Spec->steps(static_cast<int>(name(At).Step));
+}
+
+std::size_t TaskJob::first(std::uint32_t Occurrence, std::uint32_t Step) const {
+  return Occurrence * TasksPerOccurrence + StepOffsets[Step];
+}
+
+bool TaskJob::isStepDone(std::uint32_t Occurrence, std::uint32_t Step) const {
+  const std::size_t Begin = first(Occurrence, Step);
+  const std::size_t Count = Spec->steps(static_cast<int>(Step)).count();
+  return std::all_of(
+      Tasks.begin() + static_cast<std::ptrdiff_t>(Begin),
+      Tasks.begin() + static_cast<std::ptrdiff_t>(Begin + Count),
+      [](const TaskState &Task) { return Task.Phase == wire::TASK_DONE; });
+}
+
+bool TaskJob::isStepReady(std::uint32_t Occurrence, std::uint32_t Step,
+                          std::int64_t NowUnixMs) const {
+  const auto &After = Spec->steps(static_cast<int>(Step)).after();
+  return NowUnixMs >= dueMs(Occurrence) &&
+         std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+           return isStepDone(Occurrence, Earlier);
+         });
+}
+
+std::int64_t TaskJob::dueMs(std::uint32_t Occurrence) const {
+  if (Spec->repeat_count() == 0)
+    return 0;
+  return Spec->first_due_ms() + Occurrence * Spec->interval_ms();
+}
+
+bool TaskJob::hasPlacedTasks() const {
+  return std::any_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
+    return Task.Phase == wire::TASK_PLACED;
+  });
+}
+
+bool TaskJob::areAllDone() const {
+  return std::all_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
+    return Task.Phase == wire::TASK_DONE;
+  });
+}
+
+JobStatus TaskJob::status() const {
+  if (Completed)
+    return JobStatus::Completed;
+  if (Failed)
+    return JobStatus::Failed;
+  if (Cancelled)
+    return JobStatus::Cancelled;
+  return Begun ? JobStatus::Running : JobStatus::Pending;
+}
+
+} // namespace baobabcove
