Bar a repeated start before its refusal counts

Change: starts that an earlier life may have sent are barred by a stop before their refusal is told; room made for a guaranteed gang keeps its workers over the rounds; runs are stopped for it only after half a second.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -19,6 +19,11 @@
 /// its data, which takes longer by the remote penalty.
 constexpr double FarPatience = 2;
 
+/// A guaranteed job waits this long for room before others are stopped for it:
+/// short tasks end all the time. With the stop, two writes to the store and
+/// the start, which take 0.7 s, it stays far below the bound of 2.7 s.
+constexpr Milliseconds ReclaimPatience{500};
+
 /// Ranks: the guaranteed first, then those that can still be on time, then
 /// those that can only be late, then the rest.
 constexpr double GuaranteedRank = 0;
@@ -51,7 +56,9 @@
   PlanInput Input = picture(Open, Config, Now);
   if (Input.Units.empty())
     return;
-  const TaskPlan Plan = planTasks(Input);
+  Input.Kept = std::move(Kept);
+  TaskPlan Plan = planTasks(Input);
+  Kept = std::move(Plan.Kept);
   apply(Plan, Input, Now);
 }
 
@@ -62,6 +69,7 @@
   for (const wire::TaskReport &Report : Open) {
     PlanWorker Worker;
     Worker.Life = WorkerLife(Report.worker());
+    Worker.AgentLife = Report.agent_life();
     Worker.Service = ServiceName(Report.service());
     Worker.Rack = RackName(Report.rack());
     Worker.Labels.assign(Report.labels().begin(), Report.labels().end());
@@ -191,6 +199,7 @@
       Job.spec().queue(), Milliseconds(Unit.Step->estimate_ms()));
   const auto Waited =
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
+  Unit.MayStopOthers = Guaranteed && Waited >= ReclaimPatience.count();
   Unit.MayRunFar = double(Waited) > FarPatience * double(Took.count());
   return Unit;
 }
@@ -255,6 +264,7 @@
     Task.Phase = wire::TASK_PLACED;
     Task.Worker = Input.Workers[Start.Worker].Life;
     Task.PlacedAt = Now.Boot;
+    Task.OrderedFrom = Input.Workers[Start.Worker].AgentLife;
     Task.Seen = false;
     Task.StopWanted = false;
     Job.Begun = true;
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -279,6 +279,11 @@
     News.notify_all();
 }
 
+bool TaskAgent::knowsClock() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return WorkerClockAt != BootInstant{};
+}
+
 TaskAgent::Call TaskAgent::prepareCall() {
   Call Next;
   Next.Link = Link;
@@ -394,24 +399,35 @@
 void TaskAgent::carryOutStart(const Job &Order) {
   const RunId Run(Order.Task, Order.Run);
   WorkerStart Start;
+  bool MayHaveBeenSent = true;
   Call Of;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     if (!Ledger.wantsStart(Run))
       return;
     for (const wire::StartOrder &Wanted : Orders.starts())
-      if (Wanted.task() == Order.Task && Wanted.run() == Order.Run)
+      if (Wanted.task() == Order.Task && Wanted.run() == Order.Run) {
         Start = {Wanted.task(), Wanted.run(), Wanted.payload(),
                  Wanted.checkpoint()};
-    Of = prepareCall();
-    if (!Of.Link || Of.Deadline.count() == 0) {
-      Ledger.refused(Run, wire::REFUSED_LATE);
-      HasNews = true;
-      News.notify_all();
+        MayHaveBeenSent = Wanted.may_have_been_sent();
+      }
+    if (Start.Task.empty())
       return;
-    }
   }
-  const OrderAnswer Answer = Of.Link->start(Start, Of.Deadline, Of.Term);
+  if (!knowsClock())
+    list(Milliseconds(0));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Of = prepareCall();
+  }
+  if (!Of.Link)
+    return;
+  // Without a lease to give the start is not sent; whether an earlier life of
+  // this agent has sent it is settled by a stop.
+  OrderAnswer Answer{CallOutcome::Unknown, wire::REFUSAL_REASON_UNSPECIFIED,
+                     "no lease to give"};
+  if (Of.Deadline.count() > 0)
+    Answer = Of.Link->start(Start, Of.Deadline, Of.Term);
   LOG4CPLUS_INFO(
       logOf("run"),
       LogFields("start sent")
@@ -423,7 +439,7 @@
                           : Answer.Outcome == CallOutcome::Refused ? "refused"
                                                                    : "unknown")
           .add("why", Answer.Detail));
-  if (Answer.Outcome == CallOutcome::Unknown)
+  if (Answer.Outcome != CallOutcome::Done)
     list(Milliseconds(0));
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (Of.Life != WorkerName)
@@ -432,7 +448,7 @@
       Running.begin(), Running.end(), [&](const wire::RunStatus &Status) {
         return Status.task() == Order.Task && Status.run() == Order.Run;
       });
-  if (Answer.Outcome == CallOutcome::Refused) {
+  if (Answer.Outcome == CallOutcome::Refused && !MayHaveBeenSent) {
     Ledger.refused(Run, Answer.Reason);
   } else if (Answer.Outcome == CallOutcome::Done || Runs) {
     Ledger.started(Run);
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -84,6 +84,7 @@
   bool list(Milliseconds Wait);
   void takeRuns(const Call &Of, const WorkerRuns &Runs, BootInstant SentAt,
                 BootInstant Now);
+  bool knowsClock() const;
   Call prepareCall();
   void carryOut(const Job &Order);
   void carryOutStart(const Job &Order);
--- a/src/tasks/TaskBoard.cpp
+++ b/src/tasks/TaskBoard.cpp
@@ -348,6 +348,7 @@
         Start.set_run(Task.Run);
         Start.set_payload(Job.spec().payload());
         Start.set_checkpoint(Task.Checkpoint);
+        Start.set_may_have_been_sent(Task.OrderedFrom != Report.agent_life());
       }
     }
   }
--- a/src/tasks/TaskBoard.h
+++ b/src/tasks/TaskBoard.h
@@ -111,6 +111,8 @@
   std::map<std::string, BootInstant> NotBefore;
   /// Highest end taken in by life of a worker.
   std::map<WorkerLife, std::uint64_t> Acknowledged;
+  /// Where room is being made, from the last plan.
+  std::map<std::pair<JobId, std::size_t>, std::vector<WorkerLife>> Kept;
   DurationBook Durations;
   WorkerSuspicion Suspicion;
 };
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -45,6 +45,9 @@
   /// The worker has listed the run.
   bool Seen = false;
   bool StopWanted = false;
+  /// The life of the agent that the start was first ordered from; zero for a
+  /// run that an earlier coordinator ordered.
+  std::uint64_t OrderedFrom = 0;
   BootInstant PlacedAt{};
   BootInstant SeenAt{};
   std::uint32_t Percent = 0;
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -165,32 +165,48 @@
   /// Keeps the room that stopping runs will leave, or stops the runs that
   /// are cheapest to lose.
   void makeRoom(const PlanUnit &Unit) {
-    if (auto Where = findAfterStops(Unit, true)) {
-      take(Unit, *Where);
+    auto Where = findAfterStops(Unit);
+    if (!Where && !Unit.MayStopOthers)
       return;
-    }
-    while (!findAfterStops(Unit, true)) {
+    while (!Where) {
       const auto Victim = cheapest(Unit);
       if (!Victim)
         return;
       stop(*Victim);
+      Where = findAfterStops(Unit);
     }
-    if (auto Where = findAfterStops(Unit, true)) {
-      keepOnly(*Where);
-      take(Unit, *Where);
-    }
+    keepOnly(*Where);
+    take(Unit, *Where);
+    std::vector<WorkerLife> &Kept = Out.Kept[{Unit.Job, Unit.Tasks.front()}];
+    for (std::size_t W : *Where)
+      Kept.push_back(In.Workers[W].Life);
   }
 
-  std::optional<Spots> findAfterStops(const PlanUnit &Unit, bool Far) {
-    for (PlanWorker &Worker : In.Workers) {
+  /// Where \p Unit will fit once stopping runs are gone. A choice of an
+  /// earlier round is kept while it holds, so that no more runs are stopped
+  /// elsewhere while others fill the first place again.
+  std::optional<Spots> findAfterStops(const PlanUnit &Unit) {
+    for (PlanWorker &Worker : In.Workers)
       Worker.Free += Worker.Leaving;
-    }
-    auto Where = find(Unit, &PlanWorker::Free, Far);
+    auto Where = findKept(Unit);
+    if (!Where)
+      Where = find(Unit, &PlanWorker::Free, true);
     for (PlanWorker &Worker : In.Workers)
       Worker.Free -= Worker.Leaving;
     return Where;
   }
 
+  std::optional<Spots> findKept(const PlanUnit &Unit) const {
+    const auto Kept = In.Kept.find({Unit.Job, Unit.Tasks.front()});
+    if (Kept == In.Kept.end())
+      return std::nullopt;
+    const auto IsKept = [&](std::size_t W) {
+      return std::find(Kept->second.begin(), Kept->second.end(),
+                       In.Workers[W].Life) != Kept->second.end();
+    };
+    return fit(Unit, &PlanWorker::Free, IsKept);
+  }
+
   /// The run whose stop brings \p Unit nearest to a place at the least loss:
   /// runs on the worker that needs the least loss to hold one more task.
   std::optional<std::size_t> cheapest(const PlanUnit &Unit) const {
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -34,6 +34,8 @@
 /// A worker as the planner sees it.
 struct PlanWorker {
   WorkerLife Life;
+  /// The life of the agent beside it.
+  std::uint64_t AgentLife = 0;
   ServiceName Service;
   RackName Rack;
   std::vector<std::string> Labels;
@@ -74,6 +76,8 @@
   bool MayRunFar = false;
   /// Room is kept for it: units behind it do not take what it waits for.
   bool Reserves = false;
+  /// Whether runs may be stopped for it by now.
+  bool MayStopOthers = false;
 };
 
 /// The picture that is decided on.
@@ -83,6 +87,8 @@
   std::vector<PlanUnit> Units;
   /// Tasks of a step on a worker: first the step's key, then the worker.
   std::map<std::pair<std::string, std::size_t>, std::uint32_t> OnWorker;
+  /// Workers that earlier rounds made room on, by the unit's first task.
+  std::map<std::pair<JobId, std::size_t>, std::vector<WorkerLife>> Kept;
 };
 
 struct PlannedStart {
@@ -100,6 +106,9 @@
 struct TaskPlan {
   std::vector<PlannedStart> Starts;
   std::vector<PlannedStop> Stops;
+  /// Workers on which room is made for units that cannot start yet, for the
+  /// next round.
+  std::map<std::pair<JobId, std::size_t>, std::vector<WorkerLife>> Kept;
 };
 
 /// Decides on \p Input. Every unit is started as a whole or not at all, and
