Make room for a guaranteed gang within one rack and use it at once

Change: runs to stop are sought rack by rack, the whole gang of a stopped member counts as freed, and room that was made is used as soon as it is free. Tests of the planner name these cases.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -104,6 +104,7 @@
             Job.step(At).gang() ? double(Job.step(At).count()) : 1.0;
         Input.Stoppable.push_back(
             {Where->second, Id, At, Takes,
+             Job.step(At).gang() ? stepKey(Job.name(At)) : std::string(),
              (Job.step(At).checkpointing() ? 1.0 : Ran + 0.1) * Members *
                  weight(Takes)});
       }
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -1,6 +1,7 @@
 #include "tasks/TaskPlanner.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <set>
@@ -14,6 +15,13 @@
 /// Where the tasks of one unit go, in the order of its tasks.
 using Spots = std::vector<std::size_t>;
 
+/// How room can be made for a unit: where it goes, and what is stopped.
+struct Way {
+  Spots Where;
+  std::vector<std::size_t> Victims;
+  double Loss = 0;
+};
+
 class Planner {
 public:
   explicit Planner(PlanInput Given) : In(std::move(Given)) {
@@ -21,12 +29,19 @@
                      [](const PlanUnit &L, const PlanUnit &R) {
                        return L.Rank < R.Rank;
                      });
+    for (const PlanWorker &Worker : In.Workers) {
+      Free.push_back(Worker.Free);
+      Leaving.push_back(Worker.Leaving);
+    }
     Stopped.resize(In.Stoppable.size());
   }
 
   TaskPlan run() {
     for (const PlanUnit &Unit : In.Units) {
-      if (auto Where = find(Unit, &PlanWorker::Free, Unit.MayRunFar))
+      auto Where = fit(Unit, Free, keptFor(Unit));
+      if (!Where)
+        Where = find(Unit, Free, Unit.MayRunFar);
+      if (Where)
         start(Unit, *Where);
       else if (Unit.Guaranteed)
         makeRoom(Unit);
@@ -37,6 +52,27 @@
   }
 
 private:
+  using Rooms = std::vector<Room>;
+  /// Whether a worker, by its position, may be used.
+  using Allowed = std::function<bool(std::size_t)>;
+
+  static bool anywhere(std::size_t) { return true; }
+
+  Allowed inRack(const RackName &Rack) const {
+    return [this, Rack](std::size_t W) { return In.Workers[W].Rack == Rack; };
+  }
+
+  /// The workers on which an earlier round made room for \p Unit.
+  Allowed keptFor(const PlanUnit &Unit) const {
+    const auto Kept = In.Kept.find({Unit.Job, Unit.Tasks.front()});
+    if (Kept == In.Kept.end())
+      return [](std::size_t) { return false; };
+    return [this, &Lives = Kept->second](std::size_t W) {
+      return std::find(Lives.begin(), Lives.end(), In.Workers[W].Life) !=
+             Lives.end();
+    };
+  }
+
   bool suits(const PlanWorker &Worker, const PlanUnit &Unit) const {
     const std::string &Label = Unit.Step->required_label();
     return Worker.Open && Worker.Service == Unit.Service &&
@@ -52,39 +88,34 @@
 
   /// The room that is left when \p Need is taken, as a share of the worker's;
   /// the fullest worker that still fits keeps the others whole.
-  static double leftover(const PlanWorker &Worker, const Room &Free,
-                         const Room &Need) {
-    const auto Share = [](std::int64_t Left, std::int64_t Whole) {
-      return Whole > 0 ? double(Left) / double(Whole) : 0.0;
+  double leftover(std::size_t W, const Room &Offered, const Room &Need) const {
+    const Room &Whole = In.Workers[W].Capacity;
+    const auto Share = [](std::int64_t Left, std::int64_t Of) {
+      return Of > 0 ? double(Left) / double(Of) : 0.0;
     };
-    return 2 * Share(Free.Accelerators - Need.Accelerators,
-                     Worker.Capacity.Accelerators) +
-           Share(Free.MemoryMb - Need.MemoryMb, Worker.Capacity.MemoryMb) +
-           Share(Free.MilliCores - Need.MilliCores,
-                 Worker.Capacity.MilliCores);
+    return 2 * Share(Offered.Accelerators - Need.Accelerators,
+                     Whole.Accelerators) +
+           Share(Offered.MemoryMb - Need.MemoryMb, Whole.MemoryMb) +
+           Share(Offered.MilliCores - Need.MilliCores, Whole.MilliCores);
   }
 
-  /// Places all tasks of \p Unit on workers for which \p Allowed holds, best
-  /// fit first, by the room that \p Offered names.
-  template <class Allow>
-  std::optional<Spots> fit(const PlanUnit &Unit, Room PlanWorker::*Offered,
-                           Allow Allowed) const {
+  /// Places all tasks of \p Unit on workers for which \p May holds, best fit
+  /// first, in the room that \p Offered holds.
+  std::optional<Spots> fit(const PlanUnit &Unit, Rooms Offered,
+                           const Allowed &May) const {
     const Room Need = roomOf(*Unit.Step);
+    const std::uint32_t Limit = Unit.Step->spread_limit();
     std::map<std::size_t, std::size_t> Taken;
-    std::vector<Room> Free;
-    for (const PlanWorker &Worker : In.Workers)
-      Free.push_back(Worker.*Offered);
     Spots Where;
     for (std::size_t T = 0; T < Unit.Tasks.size(); ++T) {
       std::size_t Best = In.Workers.size();
       double BestScore = Never;
       for (std::size_t W = 0; W < In.Workers.size(); ++W) {
-        const std::uint32_t Limit = Unit.Step->spread_limit();
-        if (!Allowed(W) || !suits(In.Workers[W], Unit) || !Free[W].holds(Need))
+        if (!May(W) || !Offered[W].holds(Need) || !suits(In.Workers[W], Unit))
           continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
-        const double Score = leftover(In.Workers[W], Free[W], Need);
+        const double Score = leftover(W, Offered[W], Need);
         if (Score < BestScore) {
           Best = W;
           BestScore = Score;
@@ -92,66 +123,59 @@
       }
       if (Best == In.Workers.size())
         return std::nullopt;
-      Free[Best] -= Need;
+      Offered[Best] -= Need;
       ++Taken[Best];
       Where.push_back(Best);
     }
     return Where;
   }
 
-  std::set<RackName> racksFor(const PlanUnit &Unit) const {
+  /// The groups of workers within which \p Unit takes no longer than it must.
+  std::vector<Allowed> nearGroups(const PlanUnit &Unit) const {
+    if (!Unit.Step->data_rack().empty())
+      return {inRack(RackName(Unit.Step->data_rack()))};
+    if (!Unit.Step->same_rack())
+      return {&anywhere};
     std::set<RackName> Racks;
     for (const PlanWorker &Worker : In.Workers)
       if (suits(Worker, Unit))
         Racks.insert(Worker.Rack);
-    return Racks;
+    std::vector<Allowed> Groups;
+    for (const RackName &Rack : Racks)
+      Groups.push_back(inRack(Rack));
+    return Groups;
   }
 
-  double leftoverOf(const PlanUnit &Unit, Room PlanWorker::*Offered,
+  double leftoverOf(const PlanUnit &Unit, const Rooms &Offered,
                     const Spots &Where) const {
     double Sum = 0;
     for (std::size_t W : Where)
-      Sum += leftover(In.Workers[W], In.Workers[W].*Offered,
-                      roomOf(*Unit.Step));
+      Sum += leftover(W, Offered[W], roomOf(*Unit.Step));
     return Sum;
   }
 
   /// Where \p Unit goes: near its data and in one rack as it asks, or, with
   /// \p Far, anywhere if there is no better place.
-  std::optional<Spots> find(const PlanUnit &Unit, Room PlanWorker::*Offered,
+  std::optional<Spots> find(const PlanUnit &Unit, const Rooms &Offered,
                             bool Far) const {
-    const wire::StepSpec &Step = *Unit.Step;
-    const auto InRack = [&](const RackName &Rack) {
-      return [&, Rack](std::size_t W) { return In.Workers[W].Rack == Rack; };
-    };
-    if (!Step.data_rack().empty()) {
-      if (auto Near = fit(Unit, Offered, InRack(RackName(Step.data_rack()))))
-        return Near;
-    } else if (Step.same_rack()) {
-      std::optional<Spots> Best;
-      double BestScore = Never;
-      for (const RackName &Rack : racksFor(Unit)) {
-        auto Where = fit(Unit, Offered, InRack(Rack));
-        const double Score =
-            Where ? leftoverOf(Unit, Offered, *Where) : Never;
-        if (Score < BestScore) {
-          Best = std::move(Where);
-          BestScore = Score;
-        }
+    std::optional<Spots> Best;
+    double BestScore = Never;
+    for (const Allowed &Group : nearGroups(Unit)) {
+      auto Where = fit(Unit, Offered, Group);
+      const double Score = Where ? leftoverOf(Unit, Offered, *Where) : Never;
+      if (Score < BestScore) {
+        Best = std::move(Where);
+        BestScore = Score;
       }
-      if (Best)
-        return Best;
-    } else {
-      Far = true;
     }
-    if (!Far)
-      return std::nullopt;
-    return fit(Unit, Offered, [](std::size_t) { return true; });
+    if (!Best && Far)
+      return fit(Unit, Offered, &anywhere);
+    return Best;
   }
 
   void take(const PlanUnit &Unit, const Spots &Where) {
     for (std::size_t W : Where) {
-      In.Workers[W].Free -= roomOf(*Unit.Step);
+      Free[W] -= roomOf(*Unit.Step);
       ++In.OnWorker[{Unit.StepKey, W}];
     }
   }
@@ -162,66 +186,109 @@
     take(Unit, Where);
   }
 
+  /// The room once all stopping runs are gone.
+  Rooms afterStops() const {
+    Rooms After = Free;
+    for (std::size_t W = 0; W < After.size(); ++W)
+      After[W] += Leaving[W];
+    return After;
+  }
+
   /// Keeps the room that stopping runs will leave, or stops the runs that
-  /// are cheapest to lose.
+  /// are cheapest to lose. A choice of an earlier round is kept while it
+  /// holds, so that no more runs are stopped elsewhere while others fill the
+  /// first place again.
   void makeRoom(const PlanUnit &Unit) {
-    auto Where = findAfterStops(Unit);
-    if (!Where && !Unit.MayStopOthers)
+    auto Where = fit(Unit, afterStops(), keptFor(Unit));
+    if (!Where)
+      Where = find(Unit, afterStops(), Unit.MayRunFar);
+    if (!Where && Unit.MayStopOthers)
+      Where = stopOthers(Unit);
+    if (!Where)
       return;
-    while (!Where) {
-      const auto Victim = cheapest(Unit);
-      if (!Victim)
-        return;
-      stop(*Victim);
-      Where = findAfterStops(Unit);
-    }
-    keepOnly(*Where);
     take(Unit, *Where);
     std::vector<WorkerLife> &Kept = Out.Kept[{Unit.Job, Unit.Tasks.front()}];
     for (std::size_t W : *Where)
       Kept.push_back(In.Workers[W].Life);
   }
 
-  /// Where \p Unit will fit once stopping runs are gone. A choice of an
-  /// earlier round is kept while it holds, so that no more runs are stopped
-  /// elsewhere while others fill the first place again.
-  std::optional<Spots> findAfterStops(const PlanUnit &Unit) {
-    for (PlanWorker &Worker : In.Workers)
-      Worker.Free += Worker.Leaving;
-    auto Where = findKept(Unit);
-    if (!Where)
-      Where = find(Unit, &PlanWorker::Free, true);
-    for (PlanWorker &Worker : In.Workers)
-      Worker.Free -= Worker.Leaving;
-    return Where;
+  std::optional<Spots> stopOthers(const PlanUnit &Unit) {
+    std::optional<Way> Best;
+    for (const Allowed &Group : nearGroups(Unit))
+      if (auto Found = wayWithin(Unit, Group);
+          Found && (!Best || Found->Loss < Best->Loss))
+        Best = std::move(Found);
+    if (!Best)
+      Best = wayWithin(Unit, &anywhere);
+    if (!Best)
+      return std::nullopt;
+    for (std::size_t Victim : Best->Victims)
+      stop(Victim);
+    return Best->Where;
   }
 
-  std::optional<Spots> findKept(const PlanUnit &Unit) const {
-    const auto Kept = In.Kept.find({Unit.Job, Unit.Tasks.front()});
-    if (Kept == In.Kept.end())
-      return std::nullopt;
-    const auto IsKept = [&](std::size_t W) {
-      return std::find(Kept->second.begin(), Kept->second.end(),
-                       In.Workers[W].Life) != Kept->second.end();
+  /// The runs that have to be stopped for \p Unit within a group of workers.
+  std::optional<Way> wayWithin(const PlanUnit &Unit, const Allowed &May) const {
+    Way Found;
+    Rooms After = afterStops();
+    std::vector<bool> Gone = Stopped;
+    for (;;) {
+      if (auto Where = fit(Unit, After, May)) {
+        Found.Where = std::move(*Where);
+        break;
+      }
+      const auto Victim = cheapest(Unit, After, Gone, May);
+      if (!Victim)
+        return std::nullopt;
+      Found.Victims.push_back(*Victim);
+      for (std::size_t R : groupOf(*Victim)) {
+        Gone[R] = true;
+        After[In.Stoppable[R].Worker] += In.Stoppable[R].Takes;
+      }
+    }
+    prune(Found);
+    for (std::size_t Victim : Found.Victims)
+      Found.Loss += In.Stoppable[Victim].Loss;
+    return Found;
+  }
+
+  /// The runs that end with \p Run: the members of its gang.
+  std::vector<std::size_t> groupOf(std::size_t Run) const {
+    std::vector<std::size_t> Group;
+    for (std::size_t R = 0; R < In.Stoppable.size(); ++R)
+      if (R == Run || (!In.Stoppable[R].Gang.empty() &&
+                       In.Stoppable[R].Gang == In.Stoppable[Run].Gang))
+        Group.push_back(R);
+    return Group;
+  }
+
+  /// Leaves out victims that free nothing where the unit goes.
+  void prune(Way &Found) const {
+    const auto Frees = [&](std::size_t Victim) {
+      for (std::size_t R : groupOf(Victim))
+        if (std::find(Found.Where.begin(), Found.Where.end(),
+                      In.Stoppable[R].Worker) != Found.Where.end())
+          return true;
+      return false;
     };
-    return fit(Unit, &PlanWorker::Free, IsKept);
+    Found.Victims.erase(
+        std::remove_if(Found.Victims.begin(), Found.Victims.end(),
+                       [&](std::size_t Victim) { return !Frees(Victim); }),
+        Found.Victims.end());
   }
 
-  /// The run whose stop brings \p Unit nearest to a place at the least loss:
-  /// runs on the worker that needs the least loss to hold one more task.
-  std::optional<std::size_t> cheapest(const PlanUnit &Unit) const {
+  /// The first run to stop on the worker that needs the least loss to hold
+  /// one more task of \p Unit.
+  std::optional<std::size_t> cheapest(const PlanUnit &Unit, const Rooms &After,
+                                      const std::vector<bool> &Gone,
+                                      const Allowed &May) const {
     const Room Need = roomOf(*Unit.Step);
     double BestLoss = Never;
     std::optional<std::size_t> Best;
     for (std::size_t W = 0; W < In.Workers.size(); ++W) {
-      const PlanWorker &Worker = In.Workers[W];
-      if (!suits(Worker, Unit) || !Worker.Capacity.holds(Need))
-        continue;
-      Room Free = Worker.Free;
-      Free += Worker.Leaving;
-      if (Free.holds(Need))
+      if (!May(W) || !suits(In.Workers[W], Unit) || After[W].holds(Need))
         continue;
-      const auto [Loss, First] = lossToHold(W, Free, Need);
+      const auto [Loss, First] = lossToHold(W, After[W], Need, Gone);
       if (First && Loss < BestLoss) {
         BestLoss = Loss;
         Best = First;
@@ -233,10 +300,11 @@
   /// What it costs to stop runs on worker \p W until \p Need fits, and the
   /// first of them.
   std::pair<double, std::optional<std::size_t>>
-  lossToHold(std::size_t W, Room Free, const Room &Need) const {
+  lossToHold(std::size_t W, Room Offered, const Room &Need,
+             const std::vector<bool> &Gone) const {
     std::vector<std::size_t> Runs;
     for (std::size_t R = 0; R < In.Stoppable.size(); ++R)
-      if (In.Stoppable[R].Worker == W && !Stopped[R])
+      if (In.Stoppable[R].Worker == W && !Gone[R])
         Runs.push_back(R);
     std::sort(Runs.begin(), Runs.end(), [&](std::size_t L, std::size_t R) {
       return In.Stoppable[L].Loss < In.Stoppable[R].Loss;
@@ -244,65 +312,51 @@
     double Loss = 0;
     std::optional<std::size_t> First;
     for (std::size_t R : Runs) {
-      if (Free.holds(Need))
+      if (Offered.holds(Need))
         break;
       if (!First)
         First = R;
       Loss += In.Stoppable[R].Loss;
-      Free += In.Stoppable[R].Takes;
+      Offered += In.Stoppable[R].Takes;
     }
-    return Free.holds(Need) ? std::make_pair(Loss, First)
-                            : std::make_pair(Never, std::nullopt);
+    return Offered.holds(Need) ? std::make_pair(Loss, First)
+                               : std::make_pair(Never, std::nullopt);
   }
 
-  /// Stops a run and, with it, the other members of its gang.
   void stop(std::size_t Victim) {
-    Stopped[Victim] = true;
-    const PlanRun &Run = In.Stoppable[Victim];
-    In.Workers[Run.Worker].Leaving += Run.Takes;
-    NewStops.push_back(Victim);
-    Out.Stops.push_back({Run.Job, Run.Task});
-  }
-
-  /// Takes back stops on workers that the unit does not use after all.
-  void keepOnly(const Spots &Where) {
-    for (std::size_t Victim : NewStops) {
-      const PlanRun &Run = In.Stoppable[Victim];
-      if (std::find(Where.begin(), Where.end(), Run.Worker) != Where.end())
+    for (std::size_t R : groupOf(Victim)) {
+      if (Stopped[R])
         continue;
-      Stopped[Victim] = false;
-      In.Workers[Run.Worker].Leaving -= Run.Takes;
-      Out.Stops.erase(
-          std::remove_if(Out.Stops.begin(), Out.Stops.end(),
-                         [&](const PlannedStop &Stop) {
-                           return Stop.Job == Run.Job && Stop.Task == Run.Task;
-                         }),
-          Out.Stops.end());
+      Stopped[R] = true;
+      Leaving[In.Stoppable[R].Worker] += In.Stoppable[R].Takes;
     }
-    NewStops.clear();
+    Out.Stops.push_back(
+        {In.Stoppable[Victim].Job, In.Stoppable[Victim].Task});
   }
 
-  /// Closes the workers on which \p Unit would fit if they were empty and
-  /// that have the most room, so that units behind it do not fill them again.
+  /// Keeps the workers on which \p Unit will fit first, those with the most
+  /// room, so that units behind it do not fill them again.
   void reserve(const PlanUnit &Unit) {
     const Room Need = roomOf(*Unit.Step);
     std::vector<std::size_t> Fitting;
     for (std::size_t W = 0; W < In.Workers.size(); ++W)
       if (suits(In.Workers[W], Unit) && In.Workers[W].Capacity.holds(Need))
         Fitting.push_back(W);
-    std::sort(Fitting.begin(), Fitting.end(), [&](std::size_t L, std::size_t R) {
-      return leftover(In.Workers[L], In.Workers[L].Free, Need) >
-             leftover(In.Workers[R], In.Workers[R].Free, Need);
-    });
+    std::sort(Fitting.begin(), Fitting.end(),
+              [&](std::size_t L, std::size_t R) {
+                return leftover(L, Free[L], Need) > leftover(R, Free[R], Need);
+              });
     const std::size_t Count = std::min(Fitting.size(), Unit.Tasks.size());
     for (std::size_t I = 0; I < Count; ++I)
-      In.Workers[Fitting[I]].Free -= Need;
+      Free[Fitting[I]] -= Need;
   }
 
   PlanInput In;
+  /// Room by worker, as it is while the plan is made.
+  Rooms Free;
+  Rooms Leaving;
   TaskPlan Out;
   std::vector<bool> Stopped;
-  std::vector<std::size_t> NewStops;
 };
 
 } // namespace
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -55,6 +55,9 @@
   JobId Job;
   std::size_t Task = 0;
   Room Takes;
+  /// Identifies its gang, whose other members end with it; empty for a run
+  /// alone.
+  std::string Gang;
   /// Core-seconds of work that a stop would throw away, the whole gang's for
   /// a member of one.
   double Loss = 0;
--- /dev/null
+++ b/tests/tasks/TaskPlannerTest.cpp
@@ -0,0 +1,172 @@
+#include "tasks/TaskPlanner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+TEST_GROUP(TaskPlanner) {
+  PlanInput Input;
+  std::vector<std::unique_ptr<wire::StepSpec>> Steps;
+
+  /// Adds a worker of 32 cores, 128 GB and 8 accelerators.
+  void addWorker(const std::string &Life, const std::string &Rack) {
+    PlanWorker Worker;
+    Worker.Life = WorkerLife(Life);
+    Worker.Service = ServiceName("planner");
+    Worker.Rack = RackName(Rack);
+    Worker.Labels = {"a", Rack};
+    Worker.Capacity = {32000, 131072, 8};
+    Worker.Free = Worker.Capacity;
+    Input.Workers.push_back(Worker);
+  }
+
+  /// Adds a run of \p Accelerators that may be stopped.
+  void addRun(std::size_t Worker, std::size_t Task, std::int64_t Accelerators,
+              double Loss, const std::string &Gang = "") {
+    const Room Takes{1000, 1000, Accelerators};
+    Input.Workers[Worker].Free -= Takes;
+    Input.Stoppable.push_back(
+        {Worker, JobId("borrower"), Task, Takes, Gang, Loss});
+  }
+
+  wire::StepSpec &addUnit(const std::string &Job, std::size_t Tasks,
+                          std::int64_t Accelerators, double Rank = 0) {
+    Steps.push_back(std::make_unique<wire::StepSpec>());
+    wire::StepSpec &Step = *Steps.back();
+    Step.set_milli_cores(1000);
+    Step.set_memory_mb(1000);
+    Step.set_accelerators(Accelerators);
+    PlanUnit Unit;
+    Unit.Job = JobId(Job);
+    for (std::size_t T = 0; T < Tasks; ++T)
+      Unit.Tasks.push_back(T);
+    Unit.Step = &Step;
+    Unit.Service = ServiceName("planner");
+    Unit.StepKey = Job + ".0.0";
+    Unit.Rank = Rank;
+    Input.Units.push_back(Unit);
+    return Step;
+  }
+};
+
+TEST(TaskPlanner, StartsTheUnitWithTheLowestRankWhenRoomIsShort) {
+  addWorker("w0", "r1");
+  addUnit("later", 1, 8, 2);
+  addUnit("sooner", 1, 8, 1);
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(1, Plan.Starts.size());
+  STRCMP_EQUAL("sooner", Plan.Starts[0].Job.str().c_str());
+}
+
+TEST(TaskPlanner, StartsAGangWholeOrNotAtAll) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r1");
+  addUnit("gang", 3, 8);
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+  addWorker("w2", "r1");
+  LONGS_EQUAL(3, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, FillsTheFullestWorkerSoThatOthersStayWhole) {
+  addWorker("empty", "r1");
+  addWorker("half", "r1");
+  Input.Workers[1].Free.Accelerators = 4;
+  addUnit("small", 1, 1);
+  LONGS_EQUAL(1, planTasks(Input).Starts.at(0).Worker);
+}
+
+TEST(TaskPlanner, KeepsAGangInOneRackUntilItMayRunFar) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r2");
+  addUnit("gang", 2, 8).set_same_rack(true);
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+  Input.Units[0].MayRunFar = true;
+  LONGS_EQUAL(2, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, PrefersTheRackThatHoldsTheData) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r2");
+  addUnit("near", 1, 1).set_data_rack("r2");
+  LONGS_EQUAL(1, planTasks(Input).Starts.at(0).Worker);
+}
+
+TEST(TaskPlanner, StartsNothingWithoutTheRequiredLabel) {
+  addWorker("w0", "r1");
+  addUnit("picky", 1, 1).set_required_label("b");
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, CountsRunsOfTheStepAgainstItsSpreadLimit) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r1");
+  addUnit("spread", 2, 1).set_spread_limit(1);
+  Input.OnWorker[{"spread.0.0", 0}] = 1;
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, StopsTheCheapestRunsForAGuaranteedGang) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r1");
+  addRun(0, 0, 8, 50);
+  addRun(1, 1, 8, 5);
+  addUnit("urgent", 1, 8);
+  Input.Units[0].Guaranteed = true;
+  LONGS_EQUAL(0, planTasks(Input).Stops.size());
+  Input.Units[0].MayStopOthers = true;
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(1, Plan.Stops.size());
+  LONGS_EQUAL(1, Plan.Stops[0].Task);
+  LONGS_EQUAL(0, Plan.Starts.size());
+}
+
+TEST(TaskPlanner, MakesRoomWithinOneRackForAGangThatAsksForIt) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r2");
+  addWorker("w2", "r2");
+  addRun(0, 0, 8, 1);
+  addRun(1, 1, 8, 20);
+  addRun(2, 2, 8, 20);
+  addUnit("urgent", 2, 8).set_same_rack(true);
+  Input.Units[0].Guaranteed = true;
+  Input.Units[0].MayStopOthers = true;
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(2, Plan.Stops.size());
+  for (const PlannedStop &Stop : Plan.Stops)
+    CHECK(Stop.Task != 0);
+}
+
+TEST(TaskPlanner, StartsAtOnceWhereRoomWasMadeAcrossRacks) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r2");
+  addUnit("urgent", 2, 8).set_same_rack(true);
+  Input.Units[0].Guaranteed = true;
+  Input.Kept[{JobId("urgent"), 0}] = {WorkerLife("w0"), WorkerLife("w1")};
+  LONGS_EQUAL(2, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, LeavesTheRoomThatStoppingRunsWillGiveToTheGuaranteed) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r1");
+  Input.Workers[0].Free.Accelerators = 4;
+  Input.Workers[0].Leaving.Accelerators = 4;
+  Input.Workers[1].Free.Accelerators = 0;
+  addUnit("urgent", 1, 8, 0);
+  Input.Units[0].Guaranteed = true;
+  addUnit("small", 1, 1, 1);
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(0, Plan.Starts.size());
+  LONGS_EQUAL(0, Plan.Stops.size());
+  LONGS_EQUAL(1, Plan.Kept.size());
+}
+
+TEST(TaskPlanner, CountsTheWholeGangOfAStoppedMemberAsFreed) {
+  addWorker("w0", "r1");
+  addWorker("w1", "r1");
+  addRun(0, 0, 8, 10, "g");
+  addRun(1, 1, 8, 10, "g");
+  addUnit("urgent", 2, 8);
+  Input.Units[0].Guaranteed = true;
+  Input.Units[0].MayStopOthers = true;
+  LONGS_EQUAL(1, planTasks(Input).Stops.size());
+}
