Order jobs by their worth for the room and time they take

Change: the rank is the worth of a job (by priority, size against the mean of its queue, on time, late or neither) over the work that is left.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -24,14 +24,18 @@
 /// the start, which take 0.7 s, it stays far below the bound of 2.7 s.
 constexpr Milliseconds ReclaimPatience{500};
 
-/// Ranks: the guaranteed first, then those that can still be on time, then
-/// those that can only be late, then the rest.
-constexpr double GuaranteedRank = 0;
-constexpr double OnTimeRank = 1e6;
-constexpr double LateRank = 2e6;
-constexpr double HopelessRank = 3e6;
-/// Between the priorities of queues within one class of ranks.
-constexpr double PriorityRank = 1e5;
+/// Guaranteed jobs go before all others, in the order of their acceptance.
+/// Unix times stay far below it.
+constexpr double GuaranteedRank = -1e15;
+
+/// What a finished job is worth to its callers: partly the same for each,
+/// partly by its size against the mean of its queue (the users' pages).
+constexpr double SmallestWorth = 0.3;
+constexpr double LargestSize = 4;
+/// A late job is worth about a fifth of one on time on the users' sheets.
+constexpr double LateWorth = 0.2;
+/// Beyond that only the worth of having run at all is left.
+constexpr double HopelessWorth = 0.005;
 
 /// Up to this multiple of its objective a job still counts as served.
 constexpr double LateLimit = 3;
@@ -143,16 +147,13 @@
   return Guaranteed;
 }
 
-double TaskBoard::rankOf(const TaskJob &Job, std::uint32_t Occurrence,
-                         const BoardTime &Now) const {
+JobOutlook TaskBoard::outlookOf(const TaskJob &Job, std::uint32_t Occurrence,
+                                const BoardTime &Now) const {
   const wire::TaskJobSpec &Spec = Job.spec();
-  const std::int64_t Since =
-      std::max(Spec.accepted_ms(), Job.dueMs(Occurrence));
-  // The longest chain of steps, by the time that each is expected to take,
-  // whole and as far as it is not done yet.
+  // The longest chain of steps, whole and as far as it is not done yet.
   std::vector<double> Whole;
   std::vector<double> Left;
-  double Work = 0;
+  JobOutlook Outlook;
   for (int S = 0; S < Spec.steps_size(); ++S) {
     const wire::StepSpec &Step = Spec.steps(S);
     const auto Took = double(
@@ -168,20 +169,38 @@
         Job.isStepDone(Occurrence, static_cast<std::uint32_t>(S));
     Whole.push_back(Before + Took);
     Left.push_back(LeftBefore + (Done ? 0 : Took));
-    if (!Done)
-      Work += Took / 1000 * double(Step.count()) * weight(roomOf(Step));
+    const double Work =
+        Took / 1000 * double(Step.count()) * weight(roomOf(Step));
+    Outlook.Work += Work;
+    Outlook.WorkLeft += Done ? 0 : Work;
   }
-  const double Chain = *std::max_element(Whole.begin(), Whole.end());
-  const double Remaining = *std::max_element(Left.begin(), Left.end());
   const double Objective =
-      Spec.stretch() * Chain + double(Spec.target_latency_ms());
-  const double Age = double(Now.UnixMs - Since);
-  const double Class = Age + Remaining <= Objective ? OnTimeRank
-                       : Age + Remaining <= LateLimit * Objective
-                           ? LateRank
-                           : HopelessRank;
-  return Class + PriorityRank * double(std::min(Spec.priority(), 8U)) +
-         std::min(Work, PriorityRank / 2);
+      Spec.stretch() * *std::max_element(Whole.begin(), Whole.end()) +
+      double(Spec.target_latency_ms());
+  const double Ends =
+      double(Now.UnixMs -
+             std::max(Spec.accepted_ms(), Job.dueMs(Occurrence))) +
+      *std::max_element(Left.begin(), Left.end());
+  Outlook.Is = Ends <= Objective               ? JobOutlook::OnTime
+               : Ends <= LateLimit * Objective ? JobOutlook::Late
+                                               : JobOutlook::Hopeless;
+  return Outlook;
+}
+
+double TaskBoard::rankOf(const TaskJob &Job, const JobOutlook &Outlook) const {
+  const wire::TaskJobSpec &Spec = Job.spec();
+  const auto Known = QueueWork.find(Spec.queue());
+  const double Mean = Known == QueueWork.end() || Known->second.Jobs == 0
+                          ? Outlook.Work
+                          : Known->second.Sum / Known->second.Jobs;
+  const double Size =
+      std::min(Mean > 0 ? Outlook.Work / Mean : 1.0, LargestSize);
+  const double Worth = (SmallestWorth + (1 - SmallestWorth) * Size) /
+                       (1 + double(Spec.priority()));
+  const double Share = Outlook.Is == JobOutlook::OnTime ? 1.0
+                       : Outlook.Is == JobOutlook::Late ? LateWorth
+                                                     : HopelessWorth;
+  return -Worth * Share / std::max(Outlook.WorkLeft, 1.0);
 }
 
 PlanUnit TaskBoard::unitOf(const TaskJob &Job, std::uint32_t Occurrence,
@@ -193,9 +212,10 @@
   Unit.Service = ServiceName(Job.spec().service());
   Unit.StepKey = stepKey({Job.id(), Occurrence, Step, 0});
   Unit.Guaranteed = Guaranteed;
-  Unit.Rank = rankOf(Job, Occurrence, Now);
-  if (Guaranteed)
-    Unit.Rank = GuaranteedRank + double(Job.spec().accepted_ms() % 100000);
+  const JobOutlook Outlook = outlookOf(Job, Occurrence, Now);
+  Unit.Rank = Guaranteed
+                  ? GuaranteedRank + double(Job.spec().accepted_ms())
+                  : rankOf(Job, Outlook);
   const auto Took = Durations.expected(
       Job.spec().queue(), Milliseconds(Unit.Step->estimate_ms()));
   const auto Waited =
--- a/src/tasks/TaskBoard.cpp
+++ b/src/tasks/TaskBoard.cpp
@@ -35,7 +35,12 @@
 
 void TaskBoard::addJob(std::shared_ptr<const wire::TaskJobSpec> Spec) {
   const JobId Id(Spec->id());
-  Jobs.try_emplace(Id, TaskJob(std::move(Spec)));
+  const auto [Job, Added] = Jobs.try_emplace(Id, TaskJob(std::move(Spec)));
+  if (!Added)
+    return;
+  WorkSums &Sums = QueueWork[Job->second.spec().queue()];
+  ++Sums.Jobs;
+  Sums.Sum += outlookOf(Job->second, 0, {}).Work;
 }
 
 void TaskBoard::restore(const JobId &Id, const wire::TaskJobProgress &Stored,
--- a/src/tasks/TaskBoard.h
+++ b/src/tasks/TaskBoard.h
@@ -26,6 +26,17 @@
   std::int64_t UnixMs = 0;
 };
 
+/// What is to be expected of a job or of one occurrence of it.
+struct JobOutlook {
+  /// Whether it can still end within its objective, within the multiple of it
+  /// that counts as late, or neither.
+  enum Class { OnTime, Late, Hopeless };
+  Class Is = OnTime;
+  /// Core-seconds of all its work, and of the work that is left.
+  double Work = 0;
+  double WorkLeft = 0;
+};
+
 /// The node that a life of a worker belongs to: "NODE/ID#BORN".
 NodeId nodeOf(const WorkerLife &Life);
 
@@ -99,8 +110,10 @@
                   std::uint32_t Step, bool Guaranteed,
                   const BoardTime &Now) const;
   std::set<JobId> guaranteedJobs(const QueueConfig &Config) const;
-  double rankOf(const TaskJob &Job, std::uint32_t Occurrence,
-                const BoardTime &Now) const;
+  JobOutlook outlookOf(const TaskJob &Job, std::uint32_t Occurrence,
+                       const BoardTime &Now) const;
+  /// Lower for jobs that bring more for the room and time that they take.
+  double rankOf(const TaskJob &Job, const JobOutlook &Outlook) const;
   void apply(const TaskPlan &Plan, const PlanInput &Input,
              const BoardTime &Now);
 
@@ -114,6 +127,12 @@
   /// Where room is being made, from the last plan.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerLife>> Kept;
   DurationBook Durations;
+  /// Sizes of the jobs of each queue, in core-seconds.
+  struct WorkSums {
+    double Jobs = 0;
+    double Sum = 0;
+  };
+  std::map<std::string, WorkSums> QueueWork;
   WorkerSuspicion Suspicion;
 };
 
