--- a/src/tasks/TaskBoard.cpp
+++ b/src/tasks/TaskBoard.cpp
@@ -18,6 +18,11 @@
 /// barred and started again after this.
 constexpr Milliseconds VanishedPatience{1500};
 
+/// New checkpoints of running tasks are stored this often, so that work
+/// outlives the loss of worker and coordinator together. Tasks take one every
+/// 0.5 to 2 s on the users' sites.
+constexpr Milliseconds CheckpointPeriod{1000};
+
 log4cplus::Logger runLog() { return logOf("run"); }
 
 } // namespace
@@ -31,6 +36,8 @@
   Dirty.clear();
   NotBefore.clear();
   Acknowledged.clear();
+  Unkept.clear();
+  Kept.clear();
 }
 
 void TaskBoard::addJob(std::shared_ptr<const wire::TaskJobSpec> Spec) {
@@ -239,6 +246,14 @@
   }
 }
 
+void TaskBoard::keepCheckpoints(const BoardTime &Now) {
+  if (Now.Boot - CheckpointsKeptAt < CheckpointPeriod)
+    return;
+  CheckpointsKeptAt = Now.Boot;
+  Dirty.insert(Unkept.begin(), Unkept.end());
+  Unkept.clear();
+}
+
 std::set<NodeId> TaskBoard::busyNodes() const {
   std::set<NodeId> Nodes;
   for (const auto &[Id, Job] : Jobs)
@@ -307,8 +322,12 @@
 }
 
 void TaskBoard::keepCheckpoint(Placed At, const std::string &Checkpoint) {
-  for (std::size_t Member : members(At))
-    At.Job->task(Member).Checkpoint = Checkpoint;
+  for (std::size_t Member : members(At)) {
+    TaskState &Task = At.Job->task(Member);
+    if (Task.Checkpoint != Checkpoint)
+      Unkept.insert(At.Job->id());
+    Task.Checkpoint = Checkpoint;
+  }
 }
 
 void TaskBoard::settle(const BoardTime &Now) {
--- a/src/tasks/TaskBoard.h
+++ b/src/tasks/TaskBoard.h
@@ -58,6 +58,9 @@
   /// All runs on workers of \p Node have surely ended.
   void loseNode(const NodeId &Node, const BoardTime &Now);
 
+  /// Marks the jobs with new checkpoints as changed, from time to time.
+  void keepCheckpoints(const BoardTime &Now);
+
   /// Nodes that runs are placed on.
   std::set<NodeId> busyNodes() const;
 
@@ -120,6 +123,9 @@
   double RemotePenalty;
   std::map<JobId, TaskJob> Jobs;
   std::set<JobId> Dirty;
+  /// Jobs with checkpoints that are not in the store.
+  std::set<JobId> Unkept;
+  BootInstant CheckpointsKeptAt{};
   /// When a task that was refused may be tried again.
   std::map<std::string, BootInstant> NotBefore;
   /// Highest end taken in by life of a worker.
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -272,6 +272,7 @@
         Open.push_back(Session.Report);
   }
   Board.plan(Open, *Rules, Time);
+  Board.keepCheckpoints(Time);
 }
 
 bool TaskCoordinator::record(const CoordinatorTerm &Term) {
