Refuse at once while the store is away, and say when to come back

Change: two failures in a row without an answer count as away: refused unsent, with a Retry-After as long as the outage has lasted (1 to 4 s), spread by a second.

--- a/src/store/TransactionalStore.h
+++ b/src/store/TransactionalStore.h
@@ -7,6 +7,7 @@
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/ResultCode.h"
+#include "store/StoreHealth.h"
 
 #include <cstdint>
 #include <optional>
@@ -94,6 +95,9 @@
 
   /// Ends a lease; its keys are removed.
   virtual Expected<void> revoke(std::int64_t Lease) = 0;
+
+  /// Whether the store answers, by all calls so far.
+  virtual const StoreHealth &health() const = 0;
 };
 
 } // namespace baobabcove
--- a/src/tasks/JobIntake.cpp
+++ b/src/tasks/JobIntake.cpp
@@ -25,6 +25,12 @@
   const JobId Id(Spec.id());
   if (Catalog.find(Id))
     return {};
+  if (Kv.health().isAway(BootClock::now()))
+    return failure(ResultCode::StoreUnavailable,
+                   "The store has not answered for " +
+                       std::to_string(
+                           Kv.health().awayFor(BootClock::now()).count()) +
+                       " ms; nothing was sent.");
   Transaction Change;
   Change.Conditions.push_back({keys::job(Id), 0});
   Change.Writes.push_back({keys::job(Id), Spec.SerializeAsString(), 0});
--- a/src/tasks/JobIntake.h
+++ b/src/tasks/JobIntake.h
@@ -29,6 +29,11 @@
   /// Fails with UnknownJob for one that the store does not hold either.
   Expected<JobStatus> status(const JobId &Id);
 
+  /// How long the store has not answered.
+  Milliseconds storeAwayFor() const {
+    return Kv.health().awayFor(BootClock::now());
+  }
+
 private:
   Expected<CatalogEntry> find(const JobId &Id);
   Expected<CatalogEntry> readBack(const JobId &Id);
--- /dev/null
+++ b/tests/store/StoreHealthTest.cpp
@@ -0,0 +1,46 @@
+#include "store/StoreHealth.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+namespace {
+
+BootInstant at(int Ms) { return BootInstant(Milliseconds(Ms)); }
+
+} // namespace
+
+TEST_GROUP(StoreHealth) { StoreHealth Health; };
+
+TEST(StoreHealth, TakesOneLostAnswerForAnAccident) {
+  Health.noteFailure(at(1000));
+  CHECK_FALSE(Health.isAway(at(1001)));
+}
+
+TEST(StoreHealth, IsAwayAfterFailuresInARowUntilAnAnswer) {
+  Health.noteFailure(at(1000));
+  Health.noteFailure(at(1200));
+  CHECK_TRUE(Health.isAway(at(1300)));
+  LONGS_EQUAL(300, Health.awayFor(at(1300)).count());
+  Health.noteAnswer(at(1400));
+  CHECK_FALSE(Health.isAway(at(1401)));
+  LONGS_EQUAL(0, Health.awayFor(at(1401)).count());
+}
+
+TEST(StoreHealth, IsTriedAgainWhenThereIsNoNews) {
+  Health.noteFailure(at(1000));
+  Health.noteFailure(at(1200));
+  CHECK_FALSE(Health.isAway(at(5000)));
+}
+
+TEST(StoreHealth, ExpectsAnOutageToLastAsLongAgain) {
+  LONGS_EQUAL(1, retryAfter(Milliseconds(0), 0).count());
+  LONGS_EQUAL(1, retryAfter(Milliseconds(1900), 0).count());
+  LONGS_EQUAL(3, retryAfter(Milliseconds(3100), 0).count());
+  LONGS_EQUAL(4, retryAfter(Milliseconds(60000), 0).count());
+}
+
+TEST(StoreHealth, SpreadsTheReturnOfCallers) {
+  LONGS_EQUAL(2, retryAfter(Milliseconds(1500), 0.9).count());
+  LONGS_EQUAL(1, retryAfter(Milliseconds(1500), 0.4).count());
+}
