Weigh jobs by the tasks that still wait and by how long they can wait

Change: the work left is that of waiting tasks; slack beyond 2 s lowers the rank. Each step of a job is logged once with its shape.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -34,6 +34,9 @@
 constexpr double LargestSize = 4;
 /// A late job is worth about a fifth of one on time on the users' sheets.
 constexpr double LateWorth = 0.2;
+/// A job that can wait for longer than this before it is late (or, when it is
+/// late already, before it is worth nothing) counts the less, the longer.
+constexpr Milliseconds PatientSlack{2000};
 /// Beyond that only the worth of having run at all is left.
 constexpr double HopelessWorth = 0.005;
 
@@ -169,10 +172,13 @@
         Job.isStepDone(Occurrence, static_cast<std::uint32_t>(S));
     Whole.push_back(Before + Took);
     Left.push_back(LeftBefore + (Done ? 0 : Took));
-    const double Work =
-        Took / 1000 * double(Step.count()) * weight(roomOf(Step));
-    Outlook.Work += Work;
-    Outlook.WorkLeft += Done ? 0 : Work;
+    const double TaskWork = Took / 1000 * weight(roomOf(Step));
+    Outlook.Work += TaskWork * double(Step.count());
+    const std::size_t First =
+        Job.first(Occurrence, static_cast<std::uint32_t>(S));
+    for (std::size_t At = First; At < First + Step.count(); ++At)
+      if (Job.task(At).Phase == wire::TASK_WAITING)
+        Outlook.WorkLeft += TaskWork;
   }
   const double Objective =
       Spec.stretch() * *std::max_element(Whole.begin(), Whole.end()) +
@@ -181,6 +187,8 @@
       double(Now.UnixMs -
              std::max(Spec.accepted_ms(), Job.dueMs(Occurrence))) +
       *std::max_element(Left.begin(), Left.end());
+  const double Slack = (Ends <= Objective ? 1 : LateLimit) * Objective - Ends;
+  Outlook.Slack = Milliseconds(static_cast<std::int64_t>(Slack));
   Outlook.Is = Ends <= Objective               ? JobOutlook::OnTime
                : Ends <= LateLimit * Objective ? JobOutlook::Late
                                                : JobOutlook::Hopeless;
@@ -200,7 +208,11 @@
   const double Share = Outlook.Is == JobOutlook::OnTime ? 1.0
                        : Outlook.Is == JobOutlook::Late ? LateWorth
                                                      : HopelessWorth;
-  return -Worth * Share / std::max(Outlook.WorkLeft, 1.0);
+  // What can wait without losing worth leaves its place to what cannot.
+  const double Urgency =
+      double(PatientSlack.count()) /
+      double(std::max(Outlook.Slack, PatientSlack).count());
+  return -Worth * Share * Urgency / std::max(Outlook.WorkLeft, 1.0);
 }
 
 PlanUnit TaskBoard::unitOf(const TaskJob &Job, std::uint32_t Occurrence,
--- a/src/tasks/TaskBoard.cpp
+++ b/src/tasks/TaskBoard.cpp
@@ -45,6 +45,22 @@
   const auto [Job, Added] = Jobs.try_emplace(Id, TaskJob(std::move(Spec)));
   if (!Added)
     return;
+  for (const wire::StepSpec &Step : Job->second.spec().steps())
+    LOG4CPLUS_INFO(logOf("jobs"),
+                   LogFields("step to run")
+                       .add("job", Id)
+                       .add("queue", Job->second.spec().queue())
+                       .add("workspace", Job->second.spec().workspace())
+                       .add("tasks", Step.count())
+                       .add("milli_cores", Step.milli_cores())
+                       .add("memory_mb", Step.memory_mb())
+                       .add("accelerators", Step.accelerators())
+                       .add("estimate_ms", Step.estimate_ms())
+                       .add("gang", Step.gang())
+                       .add("same_rack", Step.same_rack())
+                       .add("rack", Step.data_rack())
+                       .add("label", Step.required_label())
+                       .add("checkpointing", Step.checkpointing()));
   WorkSums &Sums = QueueWork[Job->second.spec().queue()];
   ++Sums.Jobs;
   Sums.Sum += outlookOf(Job->second, 0, {}).Work;
--- a/src/tasks/TaskBoard.h
+++ b/src/tasks/TaskBoard.h
@@ -32,7 +32,10 @@
   /// that counts as late, or neither.
   enum Class { OnTime, Late, Hopeless };
   Class Is = OnTime;
-  /// Core-seconds of all its work, and of the work that is left.
+  /// How long it can wait before it falls into the next class.
+  Milliseconds Slack{0};
+  /// Core-seconds of all its work, and of the tasks that still wait: what is
+  /// left to be spent to have it done.
   double Work = 0;
   double WorkLeft = 0;
 };
