Leave whole workers free for urgent jobs

Cause: urgent jobs, half of whose tasks take a whole worker, waited for tasks of 6 to 11 s whose jobs could have waited five times as long.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -37,6 +37,10 @@
 /// A job that can wait for longer than this before it is late (or, when it is
 /// late already, before it is worth nothing) counts the less, the longer.
 constexpr Milliseconds PatientSlack{2000};
+/// A job that can wait for longer than this leaves some whole workers free:
+/// urgent tasks that take a whole one could wait no longer than 2 s.
+constexpr Milliseconds LongSlack{5000};
+constexpr std::size_t WholeForUrgent = 2;
 /// Beyond that only the worth of having run at all is left.
 constexpr double HopelessWorth = 0.005;
 
@@ -233,6 +237,9 @@
   const auto Waited =
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
   Unit.MayStopOthers = Guaranteed && Waited >= ReclaimPatience.count();
+  if (Job.spec().priority() > 0 && Outlook.Is == JobOutlook::OnTime &&
+      Outlook.Slack > LongSlack)
+    Unit.LeavesWhole = WholeForUrgent;
   Unit.MayRunFar = double(Waited) > FarPatience * double(Took.count());
   return Unit;
 }
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -106,6 +106,7 @@
     const Room Need = roomOf(*Unit.Step);
     const std::uint32_t Limit = Unit.Step->spread_limit();
     std::map<std::size_t, std::size_t> Taken;
+    std::size_t Whole = Unit.LeavesWhole ? wholeWorkers(Unit, Offered) : 0;
     Spots Where;
     for (std::size_t T = 0; T < Unit.Tasks.size(); ++T) {
       std::size_t Best = In.Workers.size();
@@ -115,6 +116,9 @@
           continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
+        if (isWhole(W, Offered[W]) && Whole <= Unit.LeavesWhole &&
+            Unit.LeavesWhole)
+          continue;
         const double Score = leftover(W, Offered[W], Need);
         if (Score < BestScore) {
           Best = W;
@@ -123,6 +127,7 @@
       }
       if (Best == In.Workers.size())
         return std::nullopt;
+      Whole -= Whole && isWhole(Best, Offered[Best]) ? 1 : 0;
       Offered[Best] -= Need;
       ++Taken[Best];
       Where.push_back(Best);
@@ -130,6 +135,19 @@
     return Where;
   }
 
+  /// Whether all accelerators of a worker are free.
+  bool isWhole(std::size_t W, const Room &Offered) const {
+    const std::int64_t All = In.Workers[W].Capacity.Accelerators;
+    return All > 0 && Offered.Accelerators == All;
+  }
+
+  std::size_t wholeWorkers(const PlanUnit &Unit, const Rooms &Offered) const {
+    std::size_t Count = 0;
+    for (std::size_t W = 0; W < In.Workers.size(); ++W)
+      Count += isWhole(W, Offered[W]) && suits(In.Workers[W], Unit) ? 1 : 0;
+    return Count;
+  }
+
   /// The groups of workers within which \p Unit takes no longer than it must.
   std::vector<Allowed> nearGroups(const PlanUnit &Unit) const {
     if (!Unit.Step->data_rack().empty())
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -81,6 +81,8 @@
   bool Reserves = false;
   /// Whether runs may be stopped for it by now.
   bool MayStopOthers = false;
+  /// Whole workers that it leaves free for urgent jobs, because it can wait.
+  std::size_t LeavesWhole = 0;
 };
 
 /// The picture that is decided on.
