Move runs that stand still and leave their workers alone for a while

Cause: workers whose tasks stand still for 4 to 7 s (srv_grey hang) looked idle and held urgent tasks; nothing read the progress that workers report.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -40,7 +40,7 @@
 /// A job that can wait for longer than this leaves some whole workers free:
 /// urgent tasks that take a whole one could wait no longer than 2 s.
 constexpr Milliseconds LongSlack{5000};
-constexpr std::size_t WholeForUrgent = 2;
+constexpr double WholeShareForUrgent = 0.16;
 /// Beyond that only the worth of having run at all is left.
 constexpr double HopelessWorth = 0.005;
 
@@ -76,6 +76,7 @@
 PlanInput TaskBoard::picture(const std::vector<wire::TaskReport> &Open,
                              const QueueConfig &Config, const BoardTime &Now) {
   PlanInput Input;
+  OpenWorkers = Open.size();
   std::map<WorkerLife, std::size_t> Position;
   for (const wire::TaskReport &Report : Open) {
     PlanWorker Worker;
@@ -239,7 +240,8 @@
   Unit.MayStopOthers = Guaranteed && Waited >= ReclaimPatience.count();
   if (Job.spec().priority() > 0 && Outlook.Is == JobOutlook::OnTime &&
       Outlook.Slack > LongSlack)
-    Unit.LeavesWhole = WholeForUrgent;
+    Unit.LeavesWhole = static_cast<std::size_t>(
+        WholeShareForUrgent * double(OpenWorkers) + 0.5);
   Unit.MayRunFar = double(Waited) > FarPatience * double(Took.count());
   return Unit;
 }
--- a/src/tasks/TaskBoard.h
+++ b/src/tasks/TaskBoard.h
@@ -64,6 +64,10 @@
   /// Marks the jobs with new checkpoints as changed, from time to time.
   void keepCheckpoints(const BoardTime &Now);
 
+  /// Moves runs that stand still to other workers, where that throws away
+  /// little, and leaves their workers alone for a while.
+  void moveStalled(const BoardTime &Now);
+
   /// Nodes that runs are placed on.
   std::set<NodeId> busyNodes() const;
 
@@ -133,8 +137,12 @@
   std::map<std::string, BootInstant> NotBefore;
   /// Highest end taken in by life of a worker.
   std::map<WorkerLife, std::uint64_t> Acknowledged;
+  double doneMs(const TaskJob &Job, std::size_t At) const;
+
   /// Where room is being made, from the last plan.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerLife>> Kept;
+  /// Workers in touch at the last plan.
+  std::size_t OpenWorkers = 0;
   DurationBook Durations;
   /// Sizes of the jobs of each queue, in core-seconds.
   struct WorkSums {
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -235,7 +235,7 @@
 }
 
 void TaskCoordinator::takeReports(BootInstant Now) {
-  std::vector<wire::TaskReport> News;
+  std::vector<std::pair<wire::TaskReport, BootInstant>> News;
   std::vector<NodeId> Lapsed;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -245,15 +245,15 @@
                        LapseMargin;
     for (auto &[Node, Session] : Sessions) {
       if (Session.Fresh)
-        News.push_back(Session.Report);
+        News.emplace_back(Session.Report, Session.GrantedAt);
       else if (Now - Session.GrantedAt > Lapse && Busy.count(Node))
         Lapsed.push_back(Node);
       Session.Fresh = false;
     }
   }
   const BoardTime Time{Now, wallClockMs()};
-  for (const wire::TaskReport &Report : News)
-    Board.takeReport(Report, Time);
+  for (const auto &[Report, HeardAt] : News)
+    Board.takeReport(Report, {HeardAt, Time.UnixMs});
   for (const NodeId &Node : Lapsed)
     Board.loseNode(Node, Time);
 }
@@ -261,6 +261,7 @@
 void TaskCoordinator::decide(BootInstant Now) {
   const BoardTime Time{Now, wallClockMs()};
   Board.settle(Time);
+  Board.moveStalled(Time);
   const auto Rules = Config();
   if (!Rules)
     return;
