Test the adapter and the agent without the bench

Cause: codecs, settings, store client and agent had no tests of their own.

Formatter run over the new files.

--- a/include/baobabcove/Clock.h
+++ b/include/baobabcove/Clock.h
@@ -24,8 +24,9 @@
       std::chrono::steady_clock::now());
 }
 
-/// A point on the clock that counts on while the machine is suspended, which the
-/// monotonic clock does not. Leases and proofs of freshness are judged by it.
+/// A point on the clock that counts on while the machine is suspended, which
+/// the monotonic clock does not. Leases and proofs of freshness are judged by
+/// it.
 using BootInstant = std::chrono::time_point<struct BootClock, Milliseconds>;
 
 struct BootClock {
@@ -37,10 +38,9 @@
   static time_point now() {
     timespec Time{};
     clock_gettime(CLOCK_BOOTTIME, &Time);
-    return time_point(
-        std::chrono::duration_cast<Milliseconds>(
-            std::chrono::seconds(Time.tv_sec) +
-            std::chrono::nanoseconds(Time.tv_nsec)));
+    return time_point(std::chrono::duration_cast<Milliseconds>(
+        std::chrono::seconds(Time.tv_sec) +
+        std::chrono::nanoseconds(Time.tv_nsec)));
   }
 };
 
--- a/src/base/Signals.h
+++ b/src/base/Signals.h
@@ -14,8 +14,9 @@
 
 /// Waits for SIGTERM or SIGINT, then returns. Calls \p OnDump for each
 /// SIGUSR1 and \p OnReload for each SIGHUP in the meantime.
-void waitForStop(const std::function<void()> &OnDump,
-                 const std::function<void()> &OnReload = [] {});
+void waitForStop(
+    const std::function<void()> &OnDump,
+    const std::function<void()> &OnReload = [] {});
 
 } // namespace baobabcove
 
--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -110,8 +110,7 @@
       if (Task.StopWanted)
         Worker.Leaving += Takes;
       else if (Task.Seen && !Urgent && !Job.step(At).long_running()) {
-        const double Ran =
-            double((Now.Boot - Task.PlacedAt).count()) / 1000;
+        const double Ran = double((Now.Boot - Task.PlacedAt).count()) / 1000;
         const double Members =
             Job.step(At).gang() ? double(Job.step(At).count()) : 1.0;
         Input.Stoppable.push_back(
@@ -173,8 +172,7 @@
       Before = std::max(Before, Whole[Earlier]);
       LeftBefore = std::max(LeftBefore, Left[Earlier]);
     }
-    const bool Done =
-        Job.isStepDone(Occurrence, static_cast<std::uint32_t>(S));
+    const bool Done = Job.isStepDone(Occurrence, static_cast<std::uint32_t>(S));
     Whole.push_back(Before + Took);
     Left.push_back(LeftBefore + (Done ? 0 : Took));
     const double TaskWork = Took / 1000 * weight(roomOf(Step));
@@ -189,8 +187,7 @@
       Spec.stretch() * *std::max_element(Whole.begin(), Whole.end()) +
       double(Spec.target_latency_ms());
   const double Ends =
-      double(Now.UnixMs -
-             std::max(Spec.accepted_ms(), Job.dueMs(Occurrence))) +
+      double(Now.UnixMs - std::max(Spec.accepted_ms(), Job.dueMs(Occurrence))) +
       *std::max_element(Left.begin(), Left.end());
   const double Slack = (Ends <= Objective ? 1 : LateLimit) * Objective - Ends;
   Outlook.Slack = Milliseconds(static_cast<std::int64_t>(Slack));
@@ -212,11 +209,10 @@
                        (1 + double(Spec.priority()));
   const double Share = Outlook.Is == JobOutlook::OnTime ? 1.0
                        : Outlook.Is == JobOutlook::Late ? LateWorth
-                                                     : HopelessWorth;
+                                                        : HopelessWorth;
   // What can wait without losing worth leaves its place to what cannot.
-  const double Urgency =
-      double(PatientSlack.count()) /
-      double(std::max(Outlook.Slack, PatientSlack).count());
+  const double Urgency = double(PatientSlack.count()) /
+                         double(std::max(Outlook.Slack, PatientSlack).count());
   return -Worth * Share * Urgency / std::max(Outlook.WorkLeft, 1.0);
 }
 
@@ -230,11 +226,10 @@
   Unit.StepKey = stepKey({Job.id(), Occurrence, Step, 0});
   Unit.Guaranteed = Guaranteed;
   const JobOutlook Outlook = outlookOf(Job, Occurrence, Now);
-  Unit.Rank = Guaranteed
-                  ? GuaranteedRank + double(Job.spec().accepted_ms())
-                  : rankOf(Job, Outlook);
-  const auto Took = Durations.expected(
-      Job.spec().queue(), Milliseconds(Unit.Step->estimate_ms()));
+  Unit.Rank = Guaranteed ? GuaranteedRank + double(Job.spec().accepted_ms())
+                         : rankOf(Job, Outlook);
+  const auto Took = Durations.expected(Job.spec().queue(),
+                                       Milliseconds(Unit.Step->estimate_ms()));
   const auto Waited =
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
   Unit.MayStopOthers = Guaranteed && Waited >= ReclaimPatience.count();
@@ -289,15 +284,15 @@
     for (std::size_t Member : members({&Job, Start.Task}))
       if (Job.task(Member).Phase != wire::TASK_PLACED || Member == Start.Task)
         Run = std::max(Run, Job.task(Member).Run);
-    const bool Joined =
-        Job.step(Start.Task).gang() &&
-        std::any_of(Plan.Starts.begin(), Plan.Starts.end(),
-                    [&](const PlannedStart &Other) {
-                      return &Other < &Start && Other.Job == Start.Job &&
-                             Job.step(Other.Task).gang() &&
-                             stepKey(Job.name(Other.Task)) ==
-                                 stepKey(Job.name(Start.Task));
-                    });
+    const bool Joined = Job.step(Start.Task).gang() &&
+                        std::any_of(Plan.Starts.begin(), Plan.Starts.end(),
+                                    [&](const PlannedStart &Other) {
+                                      return &Other < &Start &&
+                                             Other.Job == Start.Job &&
+                                             Job.step(Other.Task).gang() &&
+                                             stepKey(Job.name(Other.Task)) ==
+                                                 stepKey(Job.name(Start.Task));
+                                    });
     if (Joined)
       Run = Job.task(members({&Job, Start.Task}).front()).Run;
     else
@@ -311,23 +306,21 @@
     Task.StopWanted = false;
     Job.Begun = true;
     Dirty.insert(Start.Job);
-    LOG4CPLUS_INFO(runLog(),
-                   LogFields("run placed")
-                       .add("task", toText(Job.name(Start.Task)))
-                       .add("run", Task.Run)
-                       .add("worker", Task.Worker)
-                       .add("queue", Job.spec().queue())
-                       .add("waited_ms",
-                            Now.UnixMs - Job.spec().accepted_ms()));
+    LOG4CPLUS_INFO(
+        runLog(), LogFields("run placed")
+                      .add("task", toText(Job.name(Start.Task)))
+                      .add("run", Task.Run)
+                      .add("worker", Task.Worker)
+                      .add("queue", Job.spec().queue())
+                      .add("waited_ms", Now.UnixMs - Job.spec().accepted_ms()));
   }
   for (const PlannedStop &Stop : Plan.Stops) {
     TaskJob &Job = Jobs.at(Stop.Job);
     stopMembers({&Job, Stop.Task});
-    LOG4CPLUS_INFO(runLog(),
-                   LogFields("run stopped for a guarantee")
-                       .add("task", toText(Job.name(Stop.Task)))
-                       .add("run", Job.task(Stop.Task).Run)
-                       .add("worker", Job.task(Stop.Task).Worker));
+    LOG4CPLUS_INFO(runLog(), LogFields("run stopped for a guarantee")
+                                 .add("task", toText(Job.name(Stop.Task)))
+                                 .add("run", Job.task(Stop.Task).Run)
+                                 .add("worker", Job.task(Stop.Task).Worker));
   }
 }
 
--- a/src/tasks/CallGate.cpp
+++ b/src/tasks/CallGate.cpp
@@ -33,8 +33,7 @@
     if (Key != Config->Keys.end())
       Call.Workspace = Key->second;
     else if (!Call.Queue->Anonymous)
-      return failure(HasKey ? ResultCode::WrongToken
-                            : ResultCode::MissingToken,
+      return failure(HasKey ? ResultCode::WrongToken : ResultCode::MissingToken,
                      "The key belongs to no workspace.");
   }
   Call.Config = std::move(Config);
--- a/src/tasks/CoordinatorRole.cpp
+++ b/src/tasks/CoordinatorRole.cpp
@@ -146,8 +146,8 @@
   ValidUntil = Until;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    Held = CoordinatorTerm{Epoch(static_cast<std::uint64_t>(Revision)),
-                           Revision};
+    Held =
+        CoordinatorTerm{Epoch(static_cast<std::uint64_t>(Revision)), Revision};
   }
   LOG4CPLUS_INFO(logOf("role"), LogFields("role taken")
                                     .add("epoch", Revision)
--- a/src/tasks/JobIntake.cpp
+++ b/src/tasks/JobIntake.cpp
@@ -26,17 +26,18 @@
   if (Catalog.find(Id))
     return {};
   if (Kv.health().isAway(BootClock::now()))
-    return failure(ResultCode::StoreUnavailable,
-                   "The store has not answered for " +
-                       std::to_string(
-                           Kv.health().awayFor(BootClock::now()).count()) +
-                       " ms; nothing was sent.");
+    return failure(
+        ResultCode::StoreUnavailable,
+        "The store has not answered for " +
+            std::to_string(Kv.health().awayFor(BootClock::now()).count()) +
+            " ms; nothing was sent.");
   Transaction Change;
   Change.Conditions.push_back({keys::job(Id), 0});
   Change.Writes.push_back({keys::job(Id), Spec.SerializeAsString(), 0});
   const auto Result = Kv.commit(Change);
   if (Result && Result->Revision) {
-    Catalog.insert(std::make_shared<wire::TaskJobSpec>(Spec), *Result->Revision);
+    Catalog.insert(std::make_shared<wire::TaskJobSpec>(Spec),
+                   *Result->Revision);
     return {};
   }
   if (Result)
@@ -99,8 +100,7 @@
   if (!*Item)
     return unknownJob(Id);
   Catalog.apply(StoreChanges{{**Item}, 0});
-  if (const auto Progress = Kv.read(keys::progress(Id));
-      Progress && *Progress)
+  if (const auto Progress = Kv.read(keys::progress(Id)); Progress && *Progress)
     Catalog.apply(StoreChanges{{**Progress}, 0});
   if (const auto Cancel = Kv.read(keys::cancel(Id)); Cancel && *Cancel)
     Catalog.markCancelled(Id);
--- a/src/tasks/StoreFollower.cpp
+++ b/src/tasks/StoreFollower.cpp
@@ -15,8 +15,8 @@
 
 StoreFollower::StoreFollower(TransactionalStore &Kv, std::string Prefix,
                              Milliseconds Wait, FollowerEvents Events)
-    : Kv(Kv), Prefix(std::move(Prefix)), Wait(Wait),
-      Events(std::move(Events)) {}
+    : Kv(Kv), Prefix(std::move(Prefix)), Wait(Wait), Events(std::move(Events)) {
+}
 
 StoreFollower::~StoreFollower() { stop(); }
 
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -78,13 +78,13 @@
   const bool Begins = Name != WorkerName;
   Worker = Beat;
   if (Begins) {
-    LOG4CPLUS_INFO(logOf("worker"), LogFields("worker announced")
-                                        .add("worker", Name)
-                                        .add("was", WorkerName)
-                                        .add("address", Beat.Address)
-                                        .add("rack", Beat.Rack)
-                                        .add("accelerators",
-                                             Beat.Accelerators));
+    LOG4CPLUS_INFO(logOf("worker"),
+                   LogFields("worker announced")
+                       .add("worker", Name)
+                       .add("was", WorkerName)
+                       .add("address", Beat.Address)
+                       .add("rack", Beat.Rack)
+                       .add("accelerators", Beat.Accelerators));
     forgetWorker();
     WorkerName = Name;
     Link = std::shared_ptr<WorkerLink>(Links(Beat));
@@ -177,11 +177,10 @@
     return false;
   const std::lock_guard<std::mutex> Lock(Mutex);
   Coordinator = Value.substr(Begin + 1, End - Begin - 1);
-  LOG4CPLUS_INFO(logOf("coordinator"),
-                 LogFields("coordinator found")
-                     .add("node", Value.substr(0, Begin))
-                     .add("address", Coordinator)
-                     .add("revision", (*Item)->Revision));
+  LOG4CPLUS_INFO(logOf("coordinator"), LogFields("coordinator found")
+                                           .add("node", Value.substr(0, Begin))
+                                           .add("address", Coordinator)
+                                           .add("revision", (*Item)->Revision));
   return true;
 }
 
@@ -252,9 +251,9 @@
   if (Epoch(Given.epoch()) < Term)
     return;
   if (Epoch(Given.epoch()) != Term) {
-    LOG4CPLUS_INFO(logOf("coordinator"), LogFields("new term")
-                                             .add("epoch", Given.epoch())
-                                             .add("was", Term));
+    LOG4CPLUS_INFO(
+        logOf("coordinator"),
+        LogFields("new term").add("epoch", Given.epoch()).add("was", Term));
     Term = Epoch(Given.epoch());
     Changed.notify_all();
   }
@@ -293,8 +292,9 @@
   const BootInstant Now = BootClock::now();
   if (WorkerClockAt != BootInstant{} && GrantedUntil > Now) {
     const auto Left = double((GrantedUntil - WorkerClockAt).count());
-    Next.Deadline = WorkerClock + Milliseconds(static_cast<std::int64_t>(
-                                      Left * SlowestClock));
+    Next.Deadline =
+        WorkerClock +
+        Milliseconds(static_cast<std::int64_t>(Left * SlowestClock));
     LeaseUntil = std::max(LeaseUntil, GrantedUntil);
   }
   return Next;
@@ -304,8 +304,7 @@
   for (;;) {
     {
       std::unique_lock<std::mutex> Lock(Mutex);
-      Changed.wait(Lock,
-                   [&] { return Stopping || (Link && Term != Epoch()); });
+      Changed.wait(Lock, [&] { return Stopping || (Link && Term != Epoch()); });
       if (Stopping)
         return;
     }
@@ -356,11 +355,9 @@
   for (const wire::RunStatus &Run : Runs.Running)
     Fresh = Fresh || !Before.count({Run.task(), Run.run()});
   const std::uint64_t LastEnd = Ends.empty() ? 0 : Ends.back().number();
-  Fresh = Fresh ||
-          (!Runs.Ends.empty() && Runs.Ends.back().number() > LastEnd);
+  Fresh = Fresh || (!Runs.Ends.empty() && Runs.Ends.back().number() > LastEnd);
   // Listings may overtake each other; the ends of an older one are fewer.
-  if (AskedAt < ListedAt && Listed && ListedAt != BootInstant::max() &&
-      !Fresh)
+  if (AskedAt < ListedAt && Listed && ListedAt != BootInstant::max() && !Fresh)
     return;
   Running = Runs.Running;
   Ends = Runs.Ends;
--- a/src/tasks/TaskBoard.cpp
+++ b/src/tasks/TaskBoard.cpp
@@ -203,8 +203,7 @@
   }
 }
 
-void TaskBoard::takeStrayDone(const wire::RunEnd &End,
-                              const WorkerLife &Life) {
+void TaskBoard::takeStrayDone(const wire::RunEnd &End, const WorkerLife &Life) {
   const auto Name = parseTaskName(End.task());
   const auto Job = Name ? Jobs.find(Name->Job) : Jobs.end();
   const auto Position =
@@ -215,8 +214,7 @@
   LOG4CPLUS_WARN(runLog(), LogFields("task was done by another run")
                                .add("task", End.task())
                                .add("run", End.run())
-                               .add("expected",
-                                    Job->second.task(*Position).Run)
+                               .add("expected", Job->second.task(*Position).Run)
                                .add("worker", Life));
   finish({&Job->second, *Position});
 }
@@ -238,10 +236,10 @@
   case wire::RUN_DONE:
     Suspicion.noteSuccess(Node);
     if (Task.Checkpoint.empty())
-      Durations.add(At.Job->spec().queue(),
-                    std::chrono::duration_cast<Milliseconds>(Now.Boot -
-                                                             Task.PlacedAt),
-                    Milliseconds(Step.estimate_ms()));
+      Durations.add(
+          At.Job->spec().queue(),
+          std::chrono::duration_cast<Milliseconds>(Now.Boot - Task.PlacedAt),
+          Milliseconds(Step.estimate_ms()));
     if (Step.long_running())
       requeue(At, Now, Milliseconds(0));
     else
@@ -293,9 +291,8 @@
 }
 
 double TaskBoard::doneMs(const TaskJob &Job, std::size_t At) const {
-  const auto Whole =
-      Durations.expected(Job.spec().queue(),
-                         Milliseconds(Job.step(At).estimate_ms()));
+  const auto Whole = Durations.expected(
+      Job.spec().queue(), Milliseconds(Job.step(At).estimate_ms()));
   return double(Whole.count()) * double(Job.task(At).Percent) / 100;
 }
 
@@ -418,12 +415,12 @@
       continue;
     if (!Job.isOver() && Job.size() > 0 && Job.areAllDone()) {
       Job.Completed = true;
-      LOG4CPLUS_INFO(logOf("jobs"),
-                     LogFields("job completed")
-                         .add("job", Id)
-                         .add("queue", Job.spec().queue())
-                         .add("after_ms",
-                              Now.UnixMs - Job.spec().accepted_ms()));
+      LOG4CPLUS_INFO(
+          logOf("jobs"),
+          LogFields("job completed")
+              .add("job", Id)
+              .add("queue", Job.spec().queue())
+              .add("after_ms", Now.UnixMs - Job.spec().accepted_ms()));
     }
     if (Job.isOver() && !Job.hasPlacedTasks()) {
       Job.EndedMs = Now.UnixMs;
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -75,10 +75,10 @@
     Wake.notify_all();
   }
   OrdersChanged.wait_until(Lock, Until, [&] {
-    return Stopping || (Serving != Epoch() &&
-                        Sessions[Node].Orders.revision() !=
-                            Report.orders_seen() &&
-                        Sessions[Node].Orders.worker() == Report.worker());
+    return Stopping ||
+           (Serving != Epoch() &&
+            Sessions[Node].Orders.revision() != Report.orders_seen() &&
+            Sessions[Node].Orders.worker() == Report.worker());
   });
   const auto Term = Role->term();
   if (Stopping || !Term || !Role->isConfirmed())
@@ -172,8 +172,7 @@
   Board.clear();
   for (const StoreItem &Item : All->Items) {
     auto Spec = std::make_shared<wire::TaskJobSpec>();
-    if (Item.Key.rfind(keys::Jobs, 0) == 0 &&
-        Spec->ParseFromString(Item.Value))
+    if (Item.Key.rfind(keys::Jobs, 0) == 0 && Spec->ParseFromString(Item.Value))
       Board.addJob(std::move(Spec));
   }
   for (const StoreItem &Item : All->Items) {
@@ -190,8 +189,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     for (const NodeId &Node : Board.busyNodes())
-      Sessions[Node].GrantedAt =
-          std::max(Sessions[Node].GrantedAt, Now.Boot);
+      Sessions[Node].GrantedAt = std::max(Sessions[Node].GrantedAt, Now.Boot);
     for (auto &[Node, Session] : Sessions) {
       Session.Fresh = !Session.Report.node().empty();
       Session.Orders.Clear();
--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -36,8 +36,8 @@
 
 void TaskJob::restore(const wire::TaskJobProgress &Stored) {
   for (const wire::TaskRecord &Record : Stored.tasks()) {
-    const auto At = position(
-        {id(), Record.occurrence(), Record.step(), Record.index()});
+    const auto At =
+        position({id(), Record.occurrence(), Record.step(), Record.index()});
     if (!At)
       continue;
     TaskState &Task = Tasks[*At];
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -25,10 +25,9 @@
 class Planner {
 public:
   explicit Planner(PlanInput Given) : In(std::move(Given)) {
-    std::stable_sort(In.Units.begin(), In.Units.end(),
-                     [](const PlanUnit &L, const PlanUnit &R) {
-                       return L.Rank < R.Rank;
-                     });
+    std::stable_sort(
+        In.Units.begin(), In.Units.end(),
+        [](const PlanUnit &L, const PlanUnit &R) { return L.Rank < R.Rank; });
     for (const PlanWorker &Worker : In.Workers) {
       Free.push_back(Worker.Free);
       Leaving.push_back(Worker.Leaving);
@@ -348,8 +347,7 @@
       Stopped[R] = true;
       Leaving[In.Stoppable[R].Worker] += In.Stoppable[R].Takes;
     }
-    Out.Stops.push_back(
-        {In.Stoppable[Victim].Job, In.Stoppable[Victim].Task});
+    Out.Stops.push_back({In.Stoppable[Victim].Job, In.Stoppable[Victim].Task});
   }
 
   /// Keeps the workers on which \p Unit will fit first, those with the most
--- a/src/tasks/WorkerSuspicion.cpp
+++ b/src/tasks/WorkerSuspicion.cpp
@@ -23,8 +23,7 @@
   Known.Failed.insert(Job);
   if (Known.Failed.size() < FailedJobs)
     return;
-  Known.Until =
-      Now + FirstRest * (1 << std::min(Known.Rounds, MaxDoublings));
+  Known.Until = Now + FirstRest * (1 << std::min(Known.Rounds, MaxDoublings));
   ++Known.Rounds;
 }
 
--- /dev/null
+++ b/tests/platform/BootTest.cpp
@@ -0,0 +1,36 @@
+#include "platform/Boot.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+using namespace baobabcove::platform;
+
+namespace {
+
+const std::string Valid = "node=n1\nzone=z\nip=10.0.0.1\n"
+                          "platform.address=10.0.0.2:80\n"
+                          "port_range=7000,7015\nbounds.revoke_ms=4000\n"
+                          "bounds.grace_s=6\nfuture.field=x=y\nnoise\n";
+
+} // namespace
+
+TEST_GROUP(Boot){};
+
+TEST(Boot, ReadsWhatItKnowsAndIgnoresTheRest) {
+  const auto Read = parseBoot(Valid);
+  STRCMP_EQUAL("n1", Read->Node.str().c_str());
+  LONGS_EQUAL(7000, Read->InnerPort);
+  LONGS_EQUAL(4000, Read->KeyRevocation.count());
+  LONGS_EQUAL(6000, Read->StopGrace.count());
+  LONGS_EQUAL(120000, Read->StatusKept.count());
+}
+
+TEST(Boot, NamesWhatIsMissingOrWrong) {
+  for (const char *Text : {"", "node=n1\n", "node=n1\nzone=z\nip=1.1.1.1\n"})
+    CHECK(ResultCode::SettingsInvalid == parseBoot(Text).error().Code);
+  for (const char *Line : {"port_range=0,5", "port_range=x",
+                           "port_range=70000,70001", "bounds.revoke_ms=soon",
+                           "bounds.grace_s=-1", "bounds.remote_penalty=far"})
+    CHECK(ResultCode::SettingsInvalid ==
+          parseBoot(Valid + Line + "\n").error().Code);
+}
--- /dev/null
+++ b/tests/platform/CodecTest.cpp
@@ -0,0 +1,168 @@
+#include "platform/Codec.h"
+
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+using namespace baobabcove::platform;
+
+namespace {
+
+const std::string ConfigJson = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","prefix":"/a/","target_latency_ms":400,
+   "priority":0,"service":"s","max_attempts":4,"stretch":1.5,
+   "allow_anonymous":false}],
+  "services":[{"name":"s"}],
+  "tenants":[{"name":"t","api_keys":["k1","k2"],"guaranteed":{"gpu":16}}]})";
+
+const std::string JobJson = R"({"spec":"text","steps":[
+  {"count":4,"cpu":500,"mem_mb":256,"gpu":2,"estimate_ms":900,
+   "affinity":"r1-3","gang":true,"same_rack":true},
+  {"count":20,"after":[0],"checkpointing":true,"anti_affinity":3,
+   "requirements":"b"}],
+  "repeat_count":2,"initial_delay_ms":1790292317714,"interval_ms":4500})";
+
+const std::string BeatJson = R"({"service":"s","address":"10.1.0.9:80",
+  "zone":"z","version":"v1","slots":8,"state":"draining","remaining_ms":4000,
+  "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"],
+  "clock_ms":482113,"sequence":4,"born":1790292317714})";
+
+const std::string RunsJson = R"({"clock_ms":482113,"born":3,
+  "running":[["j.0.1.17",2,"00ab",41,350]],
+  "ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.8",1,"broken","00cd"]]})";
+
+/// Changes some bytes of a valid message.
+std::string damage(std::string Text, std::mt19937 &Random) {
+  for (int I = 0; I < 3; ++I) {
+    const std::size_t At = Random() % Text.size();
+    switch (Random() % 3) {
+    case 0:
+      Text[At] = static_cast<char>(Random());
+      break;
+    case 1:
+      Text.erase(At, 1 + Random() % 8);
+      break;
+    default:
+      Text.insert(At, Random() % 2 ? "[{\"" : "-1e99");
+      break;
+    }
+    if (Text.empty())
+      Text = "x";
+  }
+  return Text;
+}
+
+} // namespace
+
+TEST_GROUP(Codec){};
+
+TEST(Codec, ReadsAConfiguration) {
+  const auto Config = readConfig(ConfigJson);
+  LONGS_EQUAL(7, Config->Version);
+  LONGS_EQUAL(1, Config->Queues.size());
+  LONGS_EQUAL(400, Config->Queues[0].TargetLatency.count());
+  DOUBLES_EQUAL(1.5, Config->Queues[0].Stretch, 0);
+  STRCMP_EQUAL("t", Config->Keys.at("k2").str().c_str());
+  LONGS_EQUAL(16,
+              Config->Workspaces.at(WorkspaceId("t")).GuaranteedAccelerators);
+}
+
+TEST(Codec, LeavesOutQueuesThatCannotBeRead) {
+  const auto Config = readConfig(
+      R"({"version":1,"routes":[7,{"host":1},{"host":"h","prefix":"/",
+          "service":"s"}],"tenants":[null,{"name":3}]})");
+  LONGS_EQUAL(1, Config->Queues.size());
+  LONGS_EQUAL(0, Config->Workspaces.size());
+}
+
+TEST(Codec, RefusesAConfigurationWithoutVersion) {
+  for (const char *Text : {"", "[]", "{}", R"({"version":"7"})",
+                           R"({"version":1.5})", R"({"version":true})"})
+    CHECK(ResultCode::ConfigurationInvalid == readConfig(Text).error().Code);
+}
+
+TEST(Codec, ReadsAJobWithAllItsFields) {
+  const auto Job = readJob(JobJson);
+  STRCMP_EQUAL("text", Job->payload().c_str());
+  LONGS_EQUAL(2, Job->steps_size());
+  LONGS_EQUAL(2, Job->steps(0).accelerators());
+  STRCMP_EQUAL("r1-3", Job->steps(0).data_rack().c_str());
+  CHECK_TRUE(Job->steps(0).gang() && Job->steps(0).same_rack());
+  LONGS_EQUAL(0, Job->steps(1).after(0));
+  LONGS_EQUAL(3, Job->steps(1).spread_limit());
+  STRCMP_EQUAL("b", Job->steps(1).required_label().c_str());
+  CHECK(Job->first_due_ms() == 1790292317714);
+  LONGS_EQUAL(2, Job->repeat_count());
+}
+
+TEST(Codec, RefusesJobsBeyondTheirBounds) {
+  for (const char *Text :
+       {"{}", R"({"steps":[]})", R"({"steps":[7]})",
+        R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1e18}]})",
+        R"({"steps":[{"count":"4"}]})",
+        R"({"steps":[{"count":1,"after":[0]}]})",
+        R"({"steps":[{"count":1,"cpu":1.5}]})",
+        R"({"spec":7,"steps":[{"count":1}]})",
+        R"({"steps":[{"count":99999}],"repeat_count":99999})"})
+    CHECK(ResultCode::MalformedRequest == readJob(Text).error().Code);
+  const std::string Long(4001, 'x');
+  CHECK_FALSE(readJob("{\"spec\":\"" + Long + "\",\"steps\":[{\"count\":1}]}")
+                  .has_value());
+}
+
+TEST(Codec, ReadsAnAnnouncement) {
+  const auto Beat = readBeat("i-1", BeatJson);
+  CHECK_TRUE(Beat->Draining);
+  LONGS_EQUAL(4000, Beat->Remaining.count());
+  LONGS_EQUAL(8, Beat->Accelerators);
+  STRCMP_EQUAL("r1-3", Beat->Rack.str().c_str());
+  CHECK(Beat->BornMs == 1790292317714);
+}
+
+TEST(Codec, TakesNoWorkerFromAnnouncementsOfOtherWriters) {
+  for (const char *Text :
+       {"{}", "\xff\xfe", R"({"service":"s","address":"a","sequence":1,
+        "state":"asleep","capacity":{}})",
+        R"({"service":"s","address":"a","sequence":"1","state":"ready",
+        "capacity":{}})",
+        R"({"service":"s","address":"a","sequence":1,"state":"ready"})"})
+    CHECK(ResultCode::MalformedRequest == readBeat("i", Text).error().Code);
+  CHECK_FALSE(readBeat("", BeatJson).has_value());
+}
+
+TEST(Codec, ReadsRunsAndEnds) {
+  const auto Runs = readRuns(RunsJson);
+  LONGS_EQUAL(482113, Runs->Clock.count());
+  LONGS_EQUAL(41, Runs->Running.at(0).percent());
+  LONGS_EQUAL(wire::RUN_DONE, Runs->Ends.at(0).ending());
+  LONGS_EQUAL(wire::RUN_BROKEN, Runs->Ends.at(1).ending());
+  STRCMP_EQUAL("00cd", Runs->Ends.at(1).checkpoint().c_str());
+}
+
+TEST(Codec, LeavesOutRowsThatCannotBeRead) {
+  const auto Runs = readRuns(
+      R"({"clock_ms":1,"running":[1,["a"],["a","b","c","d"],["a",0,"",1]],
+          "ended":[[0,"a",1,"done",""],["x"],{}]})");
+  LONGS_EQUAL(0, Runs->Running.size());
+  LONGS_EQUAL(0, Runs->Ends.size());
+  CHECK_FALSE(readRuns("{}").has_value());
+}
+
+TEST(Codec, KnowsJobIds) {
+  CHECK_TRUE(isJobId("5c0e7a21d94b36f8"));
+  CHECK_FALSE(isJobId("5c0e7a21d94b36f"));
+  CHECK_FALSE(isJobId("5c0e7a21d94b36f8a"));
+  CHECK_FALSE(isJobId("5c0e7a21d94b36fz"));
+  CHECK_FALSE(isJobId("5c0e7a21/../36f8"));
+}
+
+TEST(Codec, SurvivesDamagedMessages) {
+  std::mt19937 Random(20261204);
+  for (int I = 0; I < 4000; ++I) {
+    (void)readConfig(damage(ConfigJson, Random));
+    (void)readJob(damage(JobJson, Random));
+    (void)readBeat("i", damage(BeatJson, Random));
+    (void)readRuns(damage(RunsJson, Random));
+  }
+}
--- a/tests/support/FakeKv.h
+++ b/tests/support/FakeKv.h
@@ -142,8 +142,7 @@
     bool Holds = true;
     for (const StoreCondition &Condition : Change.Conditions) {
       const auto Found = Items.find(Condition.Key);
-      const std::int64_t Is =
-          Found == Items.end() ? 0 : Found->second.Revision;
+      const std::int64_t Is = Found == Items.end() ? 0 : Found->second.Revision;
       Holds = Holds && Is == Condition.Revision;
       if (Found != Items.end())
         Result.Current.push_back(Found->second);
--- a/tests/tasks/CoordinatorRoleTest.cpp
+++ b/tests/tasks/CoordinatorRoleTest.cpp
@@ -72,8 +72,7 @@
 
 TEST(CoordinatorRole, IsLostWhenTheLeaseHasEnded) {
   int Changes = 0;
-  CoordinatorRole Short(Kv, "short 3:3", Milliseconds(400),
-                        [&] { ++Changes; });
+  CoordinatorRole Short(Kv, "short 3:3", Milliseconds(400), [&] { ++Changes; });
   Short.start();
   Short.noteSeat(false);
   CHECK_TRUE(comesTrue([&] { return Short.term().has_value(); }));
--- /dev/null
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -0,0 +1,217 @@
+#include "tasks/TaskAgent.h"
+#include "FakeKv.h"
+#include "tasks/StoreKeys.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+namespace {
+
+/// A worker in memory, shared by the links to all of its lives.
+struct FakeWorker {
+  std::mutex Mutex;
+  std::map<std::string, std::uint64_t> Running;
+  std::vector<wire::RunEnd> Ends;
+  std::uint64_t Acknowledged = 0;
+  Milliseconds Deadline{0};
+  std::set<RunId> Barred;
+  int Starts = 0;
+  bool LosesStarts = false;
+
+  void end(const std::string &Task, wire::RunEnding How) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    wire::RunEnd End;
+    End.set_number(Ends.size() + 1);
+    End.set_task(Task);
+    End.set_run(Running.at(Task));
+    End.set_ending(How);
+    Running.erase(Task);
+    Ends.push_back(End);
+  }
+};
+
+class FakeLink : public WorkerLink {
+public:
+  explicit FakeLink(FakeWorker &Of) : Of(Of) {}
+
+  OrderAnswer start(const WorkerStart &Order, Milliseconds, Epoch) override {
+    const std::lock_guard<std::mutex> Lock(Of.Mutex);
+    ++Of.Starts;
+    if (Of.LosesStarts)
+      return {};
+    Of.Running[Order.Task] = Order.Run;
+    return {CallOutcome::Done, wire::REFUSAL_REASON_UNSPECIFIED, ""};
+  }
+  OrderAnswer stop(const wire::RunKey &Run, Epoch) override {
+    const std::lock_guard<std::mutex> Lock(Of.Mutex);
+    Of.Barred.insert({Run.task(), Run.run()});
+    return {CallOutcome::Done, wire::REFUSAL_REASON_UNSPECIFIED, ""};
+  }
+  Expected<WorkerRuns> hold(Milliseconds Deadline, std::uint64_t Acknowledged,
+                            Milliseconds, Epoch) override {
+    std::this_thread::sleep_for(Milliseconds(5));
+    const std::lock_guard<std::mutex> Lock(Of.Mutex);
+    Of.Deadline = std::max(Of.Deadline, Deadline);
+    Of.Acknowledged = std::max(Of.Acknowledged, Acknowledged);
+    WorkerRuns Runs;
+    Runs.Clock = Milliseconds(1000);
+    for (const auto &[Task, Run] : Of.Running) {
+      wire::RunStatus Status;
+      Status.set_task(Task);
+      Status.set_run(Run);
+      Runs.Running.push_back(Status);
+    }
+    Runs.Ends = Of.Ends;
+    return Runs;
+  }
+
+private:
+  FakeWorker &Of;
+};
+
+} // namespace
+
+TEST_GROUP(TaskAgent) {
+  FakeKv Kv;
+  FakeWorker Worker;
+  Metrics Figures;
+  std::mutex Mutex;
+  wire::TaskOrders Orders;
+  wire::TaskReport Last;
+  std::unique_ptr<RpcServer> Coordinator;
+  std::unique_ptr<TaskAgent> Agent;
+
+  void setup() override {
+    Orders.set_coordinating(true);
+    Orders.set_epoch(5);
+    Orders.set_grant_ms(6000);
+    Orders.set_worker("n1/i-1#7");
+    Coordinator =
+        std::move(*serveRpc("127.0.0.1:0", nullptr, nullptr,
+                            [this](const wire::TaskReport &Report) {
+                              std::this_thread::sleep_for(Milliseconds(10));
+                              const std::lock_guard<std::mutex> Lock(Mutex);
+                              if (Report.sequence() > Last.sequence())
+                                Last = Report;
+                              return Orders;
+                            }));
+    Kv.put(keys::Coordinator, "front " + Coordinator->address() + " nonce");
+    Agent = std::make_unique<TaskAgent>(
+        AgentSettings{NodeId("n1"), DataCentreName("z")}, Kv,
+        [this](const WorkerBeat &) {
+          return std::make_unique<FakeLink>(Worker);
+        },
+        Figures);
+    Agent->start();
+    Agent->beat(beat(7, 1));
+  }
+
+  void teardown() override {
+    Agent->stop();
+    Agent.reset();
+    Coordinator->shutdown(Milliseconds(0));
+    Coordinator.reset();
+  }
+
+  static WorkerBeat beat(std::int64_t Born, std::int64_t Sequence) {
+    WorkerBeat Beat;
+    Beat.Id = "i-1";
+    Beat.BornMs = Born;
+    Beat.Sequence = Sequence;
+    Beat.Accelerators = 8;
+    return Beat;
+  }
+
+  wire::TaskReport last() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Last;
+  }
+
+  void order(std::uint64_t Revision, bool MayHaveBeenSent = false) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_revision(Revision);
+    wire::StartOrder &Start = *Orders.add_starts();
+    Start.set_task("j.0.0.0");
+    Start.set_run(1);
+    Start.set_may_have_been_sent(MayHaveBeenSent);
+  }
+
+  template <class Condition> bool comesTrue(Condition Holds) {
+    const Instant End = monotonicNow() + Milliseconds(20000);
+    while (!Holds()) {
+      if (monotonicNow() > End)
+        return false;
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    return true;
+  }
+};
+
+TEST(TaskAgent, TellsTheCoordinatorOfItsWorkerOnceItIsListed) {
+  CHECK_TRUE(comesTrue([&] { return last().complete(); }));
+  STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
+  LONGS_EQUAL(8, last().accelerators());
+}
+
+TEST(TaskAgent, StartsAnOrderedRunOnceAndReportsIt) {
+  order(1);
+  CHECK_TRUE(comesTrue([&] { return last().running_size() == 1; }));
+  LONGS_EQUAL(1, Worker.Starts);
+  CHECK_TRUE(comesTrue([&] { return Worker.Deadline.count() > 1000; }));
+}
+
+TEST(TaskAgent, AcknowledgesAnEndOnlyWhenTheCoordinatorSaysSo) {
+  order(1);
+  CHECK_TRUE(comesTrue([&] { return last().running_size() == 1; }));
+  Worker.end("j.0.0.0", wire::RUN_DONE);
+  CHECK_TRUE(comesTrue([&] { return last().ends_size() == 1; }));
+  LONGS_EQUAL(0, Worker.Acknowledged);
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_revision(2);
+    Orders.set_acknowledged_end(1);
+  }
+  CHECK_TRUE(comesTrue([&] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Acknowledged == 1;
+  }));
+}
+
+TEST(TaskAgent, BarsAStartWithoutAnswerBeforeItGivesUpTheRun) {
+  Worker.LosesStarts = true;
+  order(1);
+  CHECK_TRUE(comesTrue([&] { return last().refusals_size() == 1; }));
+  LONGS_EQUAL(wire::REFUSED_BARRED, last().refusals(0).reason());
+  LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
+}
+
+TEST(TaskAgent, IgnoresOrdersOfAnEarlierEpoch) {
+  CHECK_TRUE(comesTrue([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_epoch(4);
+  }
+  order(9);
+  const std::uint64_t Heard = last().sequence();
+  CHECK_TRUE(comesTrue([&] { return last().sequence() > Heard + 3; }));
+  LONGS_EQUAL(0, Worker.Starts);
+}
+
+TEST(TaskAgent, IgnoresALateAnnouncementOfAnEarlierLife) {
+  CHECK_TRUE(comesTrue([&] { return last().complete(); }));
+  Agent->beat(beat(6, 99));
+  const std::uint64_t Heard = last().sequence();
+  CHECK_TRUE(comesTrue([&] { return last().sequence() > Heard + 3; }));
+  STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
+}
+
+TEST(TaskAgent, TellsAWorkerThatHasLeftAsAnEmptyLife) {
+  CHECK_TRUE(comesTrue([&] { return last().complete(); }));
+  Agent->leave("i-1");
+  CHECK_TRUE(comesTrue(
+      [&] { return last().worker() == "n1/none#1" && last().complete(); }));
+  CHECK_TRUE(last().draining());
+}
--- a/tests/tasks/TaskBoardTest.cpp
+++ b/tests/tasks/TaskBoardTest.cpp
@@ -51,7 +51,7 @@
     Now.UnixMs += Ms;
   }
 
-  void end(wire::TaskReport &Report, const std::string &Task,
+  void end(wire::TaskReport & Report, const std::string &Task,
            std::uint64_t Run, wire::RunEnding How,
            const std::string &Checkpoint = "") {
     wire::RunEnd &End = *Report.add_ends();
@@ -62,7 +62,7 @@
     End.set_checkpoint(Checkpoint);
   }
 
-  void list(wire::TaskReport &Report, const std::string &Task,
+  void list(wire::TaskReport & Report, const std::string &Task,
             std::uint64_t Run, std::uint32_t Percent = 0) {
     wire::RunStatus &Status = *Report.add_running();
     Status.set_task(Task);
