--- a/include/baobabcove/Clock.h
+++ b/include/baobabcove/Clock.h
@@ -34,7 +34,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = BootInstant;
-  static constexpr bool is_steady = true;
   static time_point now() {
     timespec Time{};
     clock_gettime(CLOCK_BOOTTIME, &Time);
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,7 +1,15 @@
 #include "base/Log.h"
 
+#include "base/LogBudget.h"
+
+#include <sstream>
+
+#include <poll.h>
+#include <unistd.h>
+
 #include <Poco/JSON/Object.h>
 
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/layout.h>
@@ -37,6 +45,48 @@
   std::string Node;
 };
 
+/// Writes lines to standard output and never waits for its reader: a line
+/// beyond the budget, or one that the pipe has no room for, is left out and
+/// counted, and the count is told in the next line that goes out.
+class BoundedOutput : public log4cplus::Appender {
+public:
+  ~BoundedOutput() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  // Called under the appender's lock.
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    const auto Now = monotonicNow();
+    std::ostringstream Line;
+    layout->formatAndAppend(Line, Event);
+    if (!Budget.spend(Now) || !write(Line.str())) {
+      ++LeftOut;
+      return;
+    }
+    if (LeftOut == 0)
+      return;
+    const std::string Told =
+        "{\"level\":\"WARN\",\"message\":\"log lines left out count=" +
+        std::to_string(LeftOut) + "\",\"part\":\"log\"}\n";
+    if (write(Told))
+      LeftOut = 0;
+  }
+
+private:
+  static bool write(const std::string &Line) {
+    pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&Output, 1, 0) != 1 || !(Output.revents & POLLOUT))
+      return false;
+    // A pipe that can be written to has room for a page, which no line fills.
+    return ::write(STDOUT_FILENO, Line.data(),
+                   std::min(Line.size(), LongestLine)) >= 0;
+  }
+
+  static constexpr std::size_t LongestLine = 4096;
+  LogBudget Budget;
+  std::uint64_t LeftOut = 0;
+};
+
 std::unique_ptr<log4cplus::Layout> makeLayout(const std::string &Program,
                                               const std::string &Node,
                                               LogFormat Format) {
@@ -51,8 +101,11 @@
 void startLogging(const std::string &Program, const std::string &Node,
                   LogFormat Format, LogTarget Target) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr Console(
-      new log4cplus::ConsoleAppender(Target == LogTarget::StandardError, true));
+  log4cplus::SharedAppenderPtr Console;
+  if (Target == LogTarget::StandardOutput)
+    Console = new BoundedOutput();
+  else
+    Console = new log4cplus::ConsoleAppender(true, true);
   Console->setLayout(makeLayout(Program, Node, Format));
   auto Root = log4cplus::Logger::getRoot();
   Root.removeAllAppenders();
--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -6,10 +6,22 @@
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
+#include <array>
+#include <sstream>
+
 namespace baobabcove {
 
 namespace acc = boost::accumulators;
 
+namespace {
+
+/// Upper bounds of the histograms, in the unit of the distribution.
+constexpr std::array<int, 12> Bounds = {1,   2,   5,   10,   20,   50,
+                                        100, 200, 500, 1000, 2000, 5000};
+const std::string Prefix = "baobabcove_";
+
+} // namespace
+
 struct Metrics::Distribution {
   using Quantile =
       acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
@@ -17,6 +29,8 @@
       Moments;
   Quantile Median{acc::quantile_probability = 0.5};
   Quantile Tail{acc::quantile_probability = 0.99};
+  double Sum = 0;
+  std::array<std::uint64_t, Bounds.size()> UpTo{};
 };
 
 Metrics::Metrics() = default;
@@ -35,6 +49,27 @@
   Slot->Moments(Value);
   Slot->Median(Value);
   Slot->Tail(Value);
+  Slot->Sum += Value;
+  for (std::size_t B = 0; B < Bounds.size(); ++B)
+    Slot->UpTo[B] += Value <= Bounds[B] ? 1 : 0;
+}
+
+std::string Metrics::text() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::ostringstream Out;
+  for (const auto &[Name, Value] : Counters)
+    Out << Prefix << Name << ' ' << Value << '\n';
+  for (const auto &[Name, Samples] : Distributions) {
+    const std::string Full = Prefix + Name;
+    for (std::size_t B = 0; B < Bounds.size(); ++B)
+      Out << Full << "_bucket{le=\"" << Bounds[B] << "\"} " << Samples->UpTo[B]
+          << '\n';
+    const auto All = acc::count(Samples->Moments);
+    Out << Full << "_bucket{le=\"+Inf\"} " << All << '\n'
+        << Full << "_count " << All << '\n'
+        << Full << "_sum " << Samples->Sum << '\n';
+  }
+  return Out.str();
 }
 
 Poco::JSON::Object::Ptr Metrics::dump() const {
--- a/src/base/Metrics.h
+++ b/src/base/Metrics.h
@@ -30,6 +30,10 @@
   /// Every counter, and count, mean, p50 and p99 of every distribution.
   Poco::JSON::Object::Ptr dump() const;
 
+  /// The same as lines "NAME VALUE", with a histogram of each distribution:
+  /// the samples up to each bound, and all of them under "+Inf".
+  std::string text() const;
+
 private:
   struct Distribution;
   mutable std::mutex Mutex;
--- a/src/rpc/Rpc.h
+++ b/src/rpc/Rpc.h
@@ -59,10 +59,9 @@
 
 /// Serves on \p Address; port 0 takes any free port. Each handler may be
 /// null. Fails with SettingsInvalid when the address cannot be bound.
-Expected<std::unique_ptr<RpcServer>> serveRpc(const std::string &Address,
-                                              EntryHandler *EntrySide,
-                                              AgentHandler *AgentSide,
-                                              TaskCellHandler CellSide = {});
+Expected<std::unique_ptr<RpcServer>>
+serveRpc(const std::string &Address, EntryHandler *EntrySide,
+         AgentHandler *AgentSide, const TaskCellHandler &CellSide = {});
 
 /// Channels to peers by address, opened on first use. A channel that carries
 /// pings without answers is closed and opened anew by its keep-alive, so that
--- a/src/rpc/RpcServer.cpp
+++ b/src/rpc/RpcServer.cpp
@@ -144,7 +144,7 @@
 Expected<std::unique_ptr<RpcServer>> serveRpc(const std::string &Address,
                                               EntryHandler *EntrySide,
                                               AgentHandler *AgentSide,
-                                              TaskCellHandler CellSide) {
+                                              const TaskCellHandler &CellSide) {
   auto Server = std::make_unique<GrpcServer>(EntrySide, AgentSide, CellSide);
   if (!Server->listen(Address))
     return failure(ResultCode::SettingsInvalid,
--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -7,6 +7,7 @@
 #include "tasks/TaskBoard.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabcove {
 
@@ -236,7 +237,7 @@
   if (Job.spec().priority() > 0 && Outlook.Is == JobOutlook::OnTime &&
       Outlook.Slack > LongSlack)
     Unit.LeavesWhole = static_cast<std::size_t>(
-        WholeShareForUrgent * double(OpenWorkers) + 0.5);
+        std::lround(WholeShareForUrgent * double(OpenWorkers)));
   Unit.MayRunFar = double(Waited) > FarPatience * double(Took.count());
   return Unit;
 }
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -149,6 +149,7 @@
   if (!Board.dirty().empty() && !record(*Term))
     return;
   const BootInstant Now = BootClock::now();
+  Figures.count("rounds");
   takeIn();
   takeReports(Now);
   decide(Now);
@@ -276,8 +277,12 @@
 
 bool TaskCoordinator::record(const CoordinatorTerm &Term) {
   if (!Board.dirty().empty()) {
-    Figures.count("progress_writes");
-    switch (Writer.write(Term, Board.jobs(), Board.dirty())) {
+    const Instant Began = monotonicNow();
+    const WriteOutcome Outcome =
+        Writer.write(Term, Board.jobs(), Board.dirty());
+    Figures.sample("progress_write_ms",
+                   double((monotonicNow() - Began).count()));
+    switch (Outcome) {
     case WriteOutcome::Written:
       break;
     case WriteOutcome::Retry:
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -158,6 +158,7 @@
       if (suits(Worker, Unit))
         Racks.insert(Worker.Rack);
     std::vector<Allowed> Groups;
+    Groups.reserve(Racks.size());
     for (const RackName &Rack : Racks)
       Groups.push_back(inRack(Rack));
     return Groups;
