--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -441,10 +441,7 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (Of.Life != WorkerName)
     return;
-  const bool Runs = std::any_of(
-      Running.begin(), Running.end(), [&](const wire::RunStatus &Status) {
-        return Status.task() == Order.Task && Status.run() == Order.Run;
-      });
+  const bool Runs = isRunning(Run);
   if (Answer.Outcome == CallOutcome::Refused && !MayHaveBeenSent) {
     Ledger.refused(Run, Answer.Reason);
   } else if (Answer.Outcome == CallOutcome::Done || Runs) {
@@ -487,13 +484,29 @@
                                          : "not answered")
                      .add("why", Answer.Detail));
   const BootInstant Now = BootClock::now();
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Of.Life != WorkerName)
-    return;
-  if (Answer.Outcome == CallOutcome::Done)
-    Ledger.stopped(Run, Now);
-  else
-    Ledger.stopFailed(Run, Now);
+  bool Runs = false;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (Of.Life != WorkerName)
+      return;
+    Runs = isRunning(Run);
+    if (Answer.Outcome == CallOutcome::Done)
+      Ledger.stopped(Run, Now);
+    else
+      Ledger.stopFailed(Run, Now);
+  }
+  // A run that is there tells its end; one that is not is over with the next
+  // listing.
+  if (Answer.Outcome == CallOutcome::Done && !Runs)
+    list(Milliseconds(0));
+}
+
+bool TaskAgent::isRunning(const RunId &Run) const {
+  return std::any_of(Running.begin(), Running.end(),
+                     [&](const wire::RunStatus &Status) {
+                       return Status.task() == Run.first &&
+                              Status.run() == Run.second;
+                     });
 }
 
 std::string TaskAgent::dump() const {
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -89,6 +89,8 @@
   void carryOut(const Job &Order);
   void carryOutStart(const Job &Order);
   void carryOutStop(const Job &Order);
+  /// Whether the worker's newest listing has the run.
+  bool isRunning(const RunId &Run) const;
   void forgetWorker();
 
   const AgentSettings Settings;
