--- a/src/tasks/JobCatalog.cpp
+++ b/src/tasks/JobCatalog.cpp
@@ -20,16 +20,6 @@
 
 } // namespace
 
-JobStatus CatalogEntry::status() const {
-  if (Completed)
-    return JobStatus::Completed;
-  if (Failed)
-    return JobStatus::Failed;
-  if (Cancelled)
-    return JobStatus::Cancelled;
-  return Begun ? JobStatus::Running : JobStatus::Pending;
-}
-
 void JobCatalog::replaceAll(const StoreChanges &All) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
--- a/src/tasks/JobCatalog.h
+++ b/src/tasks/JobCatalog.h
@@ -17,16 +17,10 @@
 namespace baobabcove {
 
 /// What the catalog knows of one job.
-struct CatalogEntry {
+struct CatalogEntry : JobMarks {
   std::shared_ptr<const wire::TaskJobSpec> Spec;
   /// The store's revision of the accepted job.
   std::int64_t Revision = 0;
-  bool Cancelled = false;
-  bool Failed = false;
-  bool Completed = false;
-  bool Begun = false;
-
-  JobStatus status() const;
 };
 
 /// Who holds the coordinator's role, by the store.
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -93,6 +93,10 @@
   bool isRunning(const RunId &Run) const;
   void forgetWorker();
 
+  /// Orders carried out side by side, so that one without an answer does not
+  /// hold up the others.
+  static constexpr int OrderThreads = 3;
+
   const AgentSettings Settings;
   TransactionalStore &Kv;
   const LinkFactory Links;
--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -140,7 +140,7 @@
   });
 }
 
-JobStatus TaskJob::status() const {
+JobStatus JobMarks::status() const {
   if (Completed)
     return JobStatus::Completed;
   if (Failed)
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -56,8 +56,21 @@
 
 enum class JobStatus { Pending, Running, Completed, Failed, Cancelled };
 
+/// What has become of a job.
+struct JobMarks {
+  bool Cancelled = false;
+  bool Failed = false;
+  bool Completed = false;
+  /// A task has been started.
+  bool Begun = false;
+
+  /// What callers are shown: a job that was done or failed before it was
+  /// cancelled stays so.
+  JobStatus status() const;
+};
+
 /// A job with the state of all its tasks.
-class TaskJob {
+class TaskJob : public JobMarks {
 public:
   explicit TaskJob(std::shared_ptr<const wire::TaskJobSpec> Spec);
 
@@ -92,12 +105,7 @@
   bool hasPlacedTasks() const;
   bool areAllDone() const;
   bool isOver() const { return Completed || Failed || Cancelled; }
-  JobStatus status() const;
 
-  bool Cancelled = false;
-  bool Failed = false;
-  bool Completed = false;
-  bool Begun = false;
   /// Unix time at which the last task of the ended job was gone; zero before.
   std::int64_t EndedMs = 0;
   /// The store's revision of the stored progress; zero when there is none.
--- /dev/null
+++ b/tests/support/ComesTrue.h
@@ -0,0 +1,27 @@
+/// \file
+/// Waiting for what other threads bring about.
+
+#ifndef BAOBABCOVE_TESTS_SUPPORT_COMESTRUE_H
+#define BAOBABCOVE_TESTS_SUPPORT_COMESTRUE_H
+
+#include "baobabcove/Clock.h"
+
+#include <thread>
+
+namespace baobabcove {
+
+/// Waits until \p Holds returns true. Returns false after a time far beyond
+/// what the threads of a test need.
+template <class Condition> bool comesTrue(Condition Holds) {
+  const Instant End = monotonicNow() + Milliseconds(20000);
+  while (!Holds()) {
+    if (monotonicNow() > End)
+      return false;
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  return true;
+}
+
+} // namespace baobabcove
+
+#endif // BAOBABCOVE_TESTS_SUPPORT_COMESTRUE_H
--- a/tests/tasks/CoordinatorRoleTest.cpp
+++ b/tests/tasks/CoordinatorRoleTest.cpp
@@ -1,4 +1,5 @@
 #include "tasks/CoordinatorRole.h"
+#include "ComesTrue.h"
 #include "FakeKv.h"
 #include "tasks/StoreKeys.h"
 
@@ -12,18 +13,6 @@
   FakeKv Kv;
   CoordinatorRole One{Kv, "one 1:1", Milliseconds(60000), [] {}};
   CoordinatorRole Two{Kv, "two 2:2", Milliseconds(60000), [] {}};
-
-  /// Waits until \p Holds is true; the longest wait is far beyond what the
-  /// threads need.
-  template <class Condition> bool comesTrue(Condition Holds) {
-    const Instant End = monotonicNow() + Milliseconds(20000);
-    while (!Holds()) {
-      if (monotonicNow() > End)
-        return false;
-      std::this_thread::sleep_for(Milliseconds(5));
-    }
-    return true;
-  }
 };
 
 TEST(CoordinatorRole, IsTakenByOneProcessAtATime) {
--- a/tests/tasks/JobCatalogTest.cpp
+++ b/tests/tasks/JobCatalogTest.cpp
@@ -1,4 +1,5 @@
 #include "tasks/JobCatalog.h"
+#include "ComesTrue.h"
 #include "FakeKv.h"
 #include "tasks/ConfigKeeper.h"
 #include "tasks/StoreFollower.h"
@@ -20,16 +21,6 @@
     Spec.set_queue("q");
     Kv.put(keys::job(JobId(Id)), Spec.SerializeAsString());
   }
-
-  template <class Condition> bool comesTrue(Condition Holds) {
-    const Instant End = monotonicNow() + Milliseconds(20000);
-    while (!Holds()) {
-      if (monotonicNow() > End)
-        return false;
-      std::this_thread::sleep_for(Milliseconds(5));
-    }
-    return true;
-  }
 };
 
 TEST(JobCatalog, CountsJobsThatHaveNotBegun) {
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -1,4 +1,5 @@
 #include "tasks/TaskAgent.h"
+#include "ComesTrue.h"
 #include "FakeKv.h"
 #include "tasks/StoreKeys.h"
 
@@ -138,16 +139,6 @@
     Start.set_run(1);
     Start.set_may_have_been_sent(MayHaveBeenSent);
   }
-
-  template <class Condition> bool comesTrue(Condition Holds) {
-    const Instant End = monotonicNow() + Milliseconds(20000);
-    while (!Holds()) {
-      if (monotonicNow() > End)
-        return false;
-      std::this_thread::sleep_for(Milliseconds(5));
-    }
-    return true;
-  }
 };
 
 TEST(TaskAgent, TellsTheCoordinatorOfItsWorkerOnceItIsListed) {
