Hold no job back from whole workers while most room is free

Change: whole workers are left only while 60 % of the accelerators are taken, and not by a job that has waited for 8 s with nothing running.

--- a/src/tasks/BoardPlanning.cpp
+++ b/src/tasks/BoardPlanning.cpp
@@ -41,6 +41,9 @@
 /// A job that can wait for longer than this leaves some whole workers free:
 /// urgent tasks that take a whole one could wait no longer than 2 s.
 constexpr Milliseconds LongSlack{5000};
+/// A job that has waited for this long with nothing running leaves none: it
+/// must not stand still beside free room.
+constexpr Milliseconds LongestHold{8000};
 constexpr double WholeShareForUrgent = 0.16;
 /// Beyond that only the worth of having run at all is left.
 constexpr double HopelessWorth = 0.005;
@@ -234,8 +237,9 @@
   const auto Waited =
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
   Unit.MayStopOthers = Guaranteed && Waited >= ReclaimPatience.count();
+  const bool HeldLong = Waited >= LongestHold.count() && !Job.hasPlacedTasks();
   if (Job.spec().priority() > 0 && Outlook.Is == JobOutlook::OnTime &&
-      Outlook.Slack > LongSlack)
+      Outlook.Slack > LongSlack && !HeldLong)
     Unit.LeavesWhole = static_cast<std::size_t>(
         std::lround(WholeShareForUrgent * double(OpenWorkers)));
   Unit.MayRunFar = double(Waited) > FarPatience * double(Took.count());
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Whole workers are left to urgent units only while at least this share of
+/// the accelerators is taken: nothing is held back while most room is free.
+constexpr double BusyShare = 0.6;
+
 constexpr double Never = std::numeric_limits<double>::infinity();
 
 /// Where the tasks of one unit go, in the order of its tasks.
@@ -105,7 +109,8 @@
     const Room Need = roomOf(*Unit.Step);
     const std::uint32_t Limit = Unit.Step->spread_limit();
     std::map<std::size_t, std::size_t> Taken;
-    std::size_t Whole = Unit.LeavesWhole ? wholeWorkers(Unit, Offered) : 0;
+    const bool Leaves = Unit.LeavesWhole && takenShare(Offered) >= BusyShare;
+    std::size_t Whole = Leaves ? wholeWorkers(Unit, Offered) : 0;
     Spots Where;
     for (std::size_t T = 0; T < Unit.Tasks.size(); ++T) {
       std::size_t Best = In.Workers.size();
@@ -115,8 +120,7 @@
           continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
-        if (isWhole(W, Offered[W]) && Whole <= Unit.LeavesWhole &&
-            Unit.LeavesWhole)
+        if (Leaves && isWhole(W, Offered[W]) && Whole <= Unit.LeavesWhole)
           continue;
         const double Score = leftover(W, Offered[W], Need);
         if (Score < BestScore) {
@@ -140,6 +144,17 @@
     return All > 0 && Offered.Accelerators == All;
   }
 
+  /// The share of all accelerators that is not offered.
+  double takenShare(const Rooms &Offered) const {
+    std::int64_t All = 0;
+    std::int64_t Left = 0;
+    for (std::size_t W = 0; W < In.Workers.size(); ++W) {
+      All += In.Workers[W].Capacity.Accelerators;
+      Left += Offered[W].Accelerators;
+    }
+    return All > 0 ? 1 - double(Left) / double(All) : 0;
+  }
+
   std::size_t wholeWorkers(const PlanUnit &Unit, const Rooms &Offered) const {
     std::size_t Count = 0;
     for (std::size_t W = 0; W < In.Workers.size(); ++W)
--- a/tests/tasks/TaskBoardTest.cpp
+++ b/tests/tasks/TaskBoardTest.cpp
@@ -338,6 +338,47 @@
   LONGS_EQUAL(wire::TASK_PLACED, job("urgent").task(0).Phase);
 }
 
+// The load of an evening: short jobs spread over most workers, and a job that
+// takes a whole worker and could wait, with most of the room free.
+TEST(TaskBoard, HoldsNoJobBackForUrgentOnesWhileMostRoomIsFree) {
+  std::vector<wire::TaskReport> Reports;
+  for (int N = 0; N < 11; ++N)
+    Reports.push_back(reportOf("n" + std::to_string(N)));
+  for (int J = 0; J < 9; ++J) {
+    auto Small = jobOf("small" + std::to_string(J), 1);
+    Small->mutable_steps(0)->set_accelerators(1);
+    Board.addJob(Small);
+    Board.plan({Reports[static_cast<std::size_t>(J)]}, Config, Now);
+  }
+  auto Whole = jobOf("whole", 1);
+  Whole->mutable_steps(0)->set_accelerators(8);
+  Whole->mutable_steps(0)->set_estimate_ms(9000);
+  Board.addJob(Whole);
+  Board.plan(Reports, Config, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("whole").task(0).Phase);
+}
+
+TEST(TaskBoard, HoldsNoJobBackForLongThatHasNothingRunning) {
+  std::vector<wire::TaskReport> Reports;
+  for (int N = 0; N < 11; ++N)
+    Reports.push_back(reportOf("n" + std::to_string(N)));
+  for (int J = 0; J < 9; ++J) {
+    auto Half = jobOf("busy" + std::to_string(J), 2);
+    Half->mutable_steps(0)->set_accelerators(4);
+    Board.addJob(Half);
+    Board.plan({Reports[static_cast<std::size_t>(J)]}, Config, Now);
+  }
+  auto Whole = jobOf("whole", 1);
+  Whole->mutable_steps(0)->set_accelerators(8);
+  Whole->mutable_steps(0)->set_estimate_ms(60000);
+  Board.addJob(Whole);
+  Board.plan(Reports, Config, Now);
+  LONGS_EQUAL(wire::TASK_WAITING, job("whole").task(0).Phase);
+  pass(8100);
+  Board.plan(Reports, Config, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("whole").task(0).Phase);
+}
+
 // A burst of jobs of several whole-worker tasks each: one job is finished
 // before the next begins, rather than all but one task of each.
 TEST(TaskBoard, FinishesJobsThatHaveBegunBeforeOthersInABurst) {
