Remove what the task scheduler never used

Cause: a last read of the change found a reservation of room that no unit asks for, a mark in the ledger that nothing reads, and an estimate that is passed and ignored.

Change: all three are gone. Behaviour is the same.

--- a/src/tasks/DurationBook.cpp
+++ b/src/tasks/DurationBook.cpp
@@ -9,8 +9,7 @@
 
 } // namespace
 
-void DurationBook::add(const std::string &Queue, Milliseconds Ran,
-                       Milliseconds) {
+void DurationBook::add(const std::string &Queue, Milliseconds Ran) {
   Sums &Known = ByQueue[Queue];
   ++Known.Count;
   Known.RanMs += double(Ran.count());
--- a/src/tasks/DurationBook.h
+++ b/src/tasks/DurationBook.h
@@ -15,7 +15,8 @@
 /// each other, so their mean is the better guess once there are some.
 class DurationBook {
 public:
-  void add(const std::string &Queue, Milliseconds Ran, Milliseconds Estimate);
+  /// Takes in how long a task of \p Queue ran that ended well.
+  void add(const std::string &Queue, Milliseconds Ran);
 
   /// The expected duration of a task of \p Queue.
   Milliseconds expected(const std::string &Queue, Milliseconds Estimate) const;
--- a/src/tasks/RunLedger.cpp
+++ b/src/tasks/RunLedger.cpp
@@ -60,7 +60,6 @@
   if (Known == Runs.end() || Known->second.Is != State::Starting)
     return;
   Known->second.Is = State::Stopping;
-  Known->second.Doubted = true;
 }
 
 void RunLedger::stopped(const RunId &Run, BootInstant At) {
--- a/src/tasks/RunLedger.h
+++ b/src/tasks/RunLedger.h
@@ -59,8 +59,6 @@
   enum class State { Starting, Started, Stopping, Stopped, Over };
   struct Entry {
     State Is = State::Starting;
-    /// The stop of a run whose start was in doubt, not of one that ran.
-    bool Doubted = false;
     BootInstant At{};
     wire::RefusalReason Reason = wire::REFUSAL_REASON_UNSPECIFIED;
   };
--- a/src/tasks/TaskBoard.cpp
+++ b/src/tasks/TaskBoard.cpp
@@ -223,8 +223,7 @@
     if (Task.Checkpoint.empty())
       Durations.add(
           At.Job->spec().queue(),
-          std::chrono::duration_cast<Milliseconds>(Now.Boot - Task.PlacedAt),
-          Milliseconds(Step.estimate_ms()));
+          std::chrono::duration_cast<Milliseconds>(Now.Boot - Task.PlacedAt));
     if (Step.long_running())
       requeue(At, Now, Milliseconds(0));
     else
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -48,8 +48,6 @@
         start(Unit, *Where);
       else if (Unit.Guaranteed)
         makeRoom(Unit);
-      else if (Unit.Reserves)
-        reserve(Unit);
     }
     return std::move(Out);
   }
@@ -366,23 +364,6 @@
     Out.Stops.push_back({In.Stoppable[Victim].Job, In.Stoppable[Victim].Task});
   }
 
-  /// Keeps the workers on which \p Unit will fit first, those with the most
-  /// room, so that units behind it do not fill them again.
-  void reserve(const PlanUnit &Unit) {
-    const Room Need = roomOf(*Unit.Step);
-    std::vector<std::size_t> Fitting;
-    for (std::size_t W = 0; W < In.Workers.size(); ++W)
-      if (suits(In.Workers[W], Unit) && In.Workers[W].Capacity.holds(Need))
-        Fitting.push_back(W);
-    std::sort(Fitting.begin(), Fitting.end(),
-              [&](std::size_t L, std::size_t R) {
-                return leftover(L, Free[L], Need) > leftover(R, Free[R], Need);
-              });
-    const std::size_t Count = std::min(Fitting.size(), Unit.Tasks.size());
-    for (std::size_t I = 0; I < Count; ++I)
-      Free[Fitting[I]] -= Need;
-  }
-
   PlanInput In;
   /// Room by worker, as it is while the plan is made.
   Rooms Free;
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -77,8 +77,6 @@
   double Rank = 0;
   /// May run away from its data or across racks, taking longer.
   bool MayRunFar = false;
-  /// Room is kept for it: units behind it do not take what it waits for.
-  bool Reserves = false;
   /// Whether runs may be stopped for it by now.
   bool MayStopOthers = false;
   /// Whole workers that it leaves free for urgent jobs, because it can wait.
