Free the reachable side of a gang that a cut broke

Cause: members out of reach were held until the cut healed, since the lead may spare and renew them for the length of a checkpoint stop that a new coordinator does not know of. Change: the lead spares members that still write checkpoints only while none is broken, lost or out of reach: without one of them the gang keeps no checkpoint anyway. So four leases after a member in reach has told that it ended without a checkpoint, the silent ones have stopped, and the coordinator takes them for lost.

--- a/src/agent/WorkerGuard.cpp
+++ b/src/agent/WorkerGuard.cpp
@@ -403,7 +403,13 @@
   if (Code != ResultCode::Ok)
     return false;
   const wire::GangPhase Phase = Reply.part().phase();
-  return Phase == wire::FAILED || Phase == wire::STOPPED || Phase == wire::LOST;
+  return Phase == wire::FAILED || Phase == wire::LOST ||
+         (Phase == wire::STOPPED && !Reply.part().checkpointed());
+}
+
+bool WorkerGuard::memberLeft(const wire::CommandReply &Reply) {
+  return static_cast<ResultCode>(Reply.code()) == ResultCode::Ok &&
+         Reply.part().phase() == wire::STOPPED && Reply.part().checkpointed();
 }
 
 void WorkerGuard::leadRound(const GangKey &Key, LedGang &Gang) {
@@ -423,6 +429,7 @@
   bool AllArmed = true;
   bool AllEnded = true;
   bool Broken = false;
+  bool Left = false;
   for (std::size_t I = 0; I < Replies.size(); ++I) {
     const auto Code = static_cast<ResultCode>(Replies[I].code());
     const wire::GangPhase Phase = Replies[I].part().phase();
@@ -432,8 +439,11 @@
     AllEnded &= Code == ResultCode::Ok && Phase == wire::SUCCEEDED;
     Broken |= memberBroken(Replies[I], Gang.Gone);
     Broken |= Asked - Gang.RenewedAt[I] > Lease;
+    Left |= memberLeft(Replies[I]);
   }
-  if (Broken && !Closing) {
+  // Without one of its members the gang can keep no checkpoint, so that those
+  // that still write theirs are spared only while none is broken.
+  if (Broken || (Left && !Closing)) {
     stopAll(Gang);
     keepLed(Key, Gang, false);
     return;
--- a/src/agent/WorkerGuard.h
+++ b/src/agent/WorkerGuard.h
@@ -85,6 +85,9 @@
   void leadRound(const GangKey &Key, LedGang &Gang);
   std::vector<wire::CommandReply> renewAll(const LedGang &Gang, bool Go);
   bool memberBroken(const wire::CommandReply &Reply, bool Gone) const;
+  /// Whether the member has ended with a checkpoint, as members do one after
+  /// the other when the whole gang is told to.
+  static bool memberLeft(const wire::CommandReply &Reply);
   void stopAll(const LedGang &Gang);
   std::vector<std::pair<GangKey, LedGang>> dueGangs(Instant Now);
   void keepLed(const GangKey &Key, const LedGang &Gang, bool Keep);
--- a/src/coordinator/Coordinator.h
+++ b/src/coordinator/Coordinator.h
@@ -126,6 +126,7 @@
   void carryOut(const EndJob &End);
   void sendStop(TrackedGang &Gang, bool Checkpoint, Milliseconds Deadline);
   void judgeLosses(Instant Now);
+  void releaseBrokenGangs(Instant Now);
   void resync();
   void removeOldJobs(Instant Now);
   void publish();
--- a/src/coordinator/CoordinatorActs.cpp
+++ b/src/coordinator/CoordinatorActs.cpp
@@ -11,6 +11,10 @@
 constexpr Milliseconds NeverSettles{24 * 3600 * 1000};
 /// A stop whose end is not reported in time is ordered again.
 constexpr Milliseconds StopRepeat{2000};
+/// After a member has told that it is broken: one lease until the lead
+/// notices, one until the others lapse, one for a renewal that was under way,
+/// and one to spare.
+constexpr int LeasesUntilGangStopped = 4;
 constexpr Milliseconds CleanupPeriod{5000};
 constexpr std::size_t MaxRemovals = 50;
 
@@ -199,6 +203,7 @@
     if (Gang.StopSent && !Gang.Ended && Present >= Gang.StopAgainAt)
       sendStop(*Gangs.find(Name.first, Attempt(Name.second)), false,
                Milliseconds(0));
+  releaseBrokenGangs(Present);
   for (const std::string &Node : Holding) {
     const auto View = Workers.find(Node);
     const Instant Heard =
@@ -210,6 +215,29 @@
   }
 }
 
+void Coordinator::releaseBrokenGangs(Instant Present) {
+  const auto IsSilent = [&](const NodeId &Node) {
+    const auto View = Workers.find(Node.str());
+    return View == Workers.end() ||
+           Present - View->second.HeardAt >= Milliseconds(Of.WorkerSilenceMs);
+  };
+  for (const auto &[Name, Tracked] : Gangs.all()) {
+    if (Tracked.Ended || !Tracked.BrokenSince)
+      continue;
+    TrackedGang &Gang = *Gangs.find(Name.first, Attempt(Name.second));
+    const GangNews What = Gangs.releaseSilent(
+        Gang, Present, LeasesUntilGangStopped * Milliseconds(Of.GangLeaseMs),
+        IsSilent);
+    if (What != GangNews::Ended)
+      continue;
+    LOG4CPLUS_WARN(logOf("coordinator"),
+                   "Silent members of " << Gang.Job
+                                        << " have stopped: one in reach told "
+                                           "that the gang is broken.");
+    news(Gang, What);
+  }
+}
+
 void Coordinator::removeOldJobs(Instant Present) {
   if (Present - LastCleanup < CleanupPeriod)
     return;
--- a/src/coordinator/GangTracker.cpp
+++ b/src/coordinator/GangTracker.cpp
@@ -17,6 +17,13 @@
       [&](const wire::GangPart &Part) { return Part.phase() == Phase; });
 }
 
+/// An end that the lead answers by stopping the whole gang at once, even while
+/// members are told to write checkpoints.
+bool breaksGang(const wire::GangPart &Part) {
+  return isTerminal(Part.phase()) && Part.phase() != wire::SUCCEEDED &&
+         !(Part.phase() == wire::STOPPED && Part.checkpointed());
+}
+
 NodeId firstWith(const TrackedGang &Gang, wire::GangPhase Phase) {
   for (std::size_t I = 0; I < Gang.Parts.size(); ++I)
     if (Gang.Parts[I].phase() == Phase)
@@ -56,32 +63,39 @@
 GangNews GangTracker::observe(TrackedGang &Gang, const wire::Heartbeat &Report,
                               Instant Now) {
   for (std::size_t I = 0; I < Gang.Members.size(); ++I) {
-    if (Gang.Members[I].node() != Report.node())
-      continue;
-    wire::GangPart &Known = Gang.Parts[I];
-    if (isTerminal(Known.phase()))
-      continue;
-    const auto &Parts = Report.worker().parts();
-    const auto Found =
-        std::find_if(Parts.begin(), Parts.end(), [&](const auto &Part) {
-          return Part.job() == Gang.Job.str() &&
-                 Part.attempt() == Gang.Number.value();
-        });
-    if (Found != Parts.end()) {
-      Known = *Found;
+    if (Gang.Members[I].node() != Report.node() ||
+        isTerminal(Gang.Parts[I].phase()))
       continue;
-    }
-    if (Now < Gang.SettledAt)
-      continue;
-    // An agent keeps what has run until told to forget it. So in the same
-    // life of the agent a missing part never ran; another life cannot tell.
-    const bool SameLife = Report.incarnation() == Gang.Members[I].incarnation();
-    Known.set_may_have_run(!SameLife);
-    Known.set_phase(wire::LOST);
+    observePart(Gang, I, Report, Now);
+    if (breaksGang(Gang.Parts[I]) && !Gang.BrokenSince)
+      Gang.BrokenSince = Now;
   }
   return judge(Gang);
 }
 
+void GangTracker::observePart(TrackedGang &Gang, std::size_t Member,
+                              const wire::Heartbeat &Report, Instant Now) {
+  wire::GangPart &Known = Gang.Parts[Member];
+  const auto &Parts = Report.worker().parts();
+  const auto Found =
+      std::find_if(Parts.begin(), Parts.end(), [&](const auto &Part) {
+        return Part.job() == Gang.Job.str() &&
+               Part.attempt() == Gang.Number.value();
+      });
+  if (Found != Parts.end()) {
+    Known = *Found;
+    return;
+  }
+  if (Now < Gang.SettledAt)
+    return;
+  // An agent keeps what has run until told to forget it. So in the same
+  // life of the agent a missing part never ran; another life cannot tell.
+  const bool SameLife =
+      Report.incarnation() == Gang.Members[Member].incarnation();
+  Known.set_may_have_run(!SameLife);
+  Known.set_phase(wire::LOST);
+}
+
 GangNews GangTracker::memberLost(TrackedGang &Gang, const std::string &Node) {
   for (std::size_t I = 0; I < Gang.Members.size(); ++I) {
     if (Gang.Members[I].node() != Node || isTerminal(Gang.Parts[I].phase()))
@@ -92,6 +106,23 @@
   return judge(Gang);
 }
 
+GangNews GangTracker::releaseSilent(
+    TrackedGang &Gang, Instant Now, Milliseconds Patience,
+    const std::function<bool(const NodeId &)> &IsSilent) {
+  if (!Gang.BrokenSince || Now - *Gang.BrokenSince <= Patience)
+    return GangNews::Nothing;
+  bool Released = false;
+  for (std::size_t I = 0; I < Gang.Members.size(); ++I) {
+    if (isTerminal(Gang.Parts[I].phase()) ||
+        !IsSilent(NodeId(Gang.Members[I].node())))
+      continue;
+    Gang.Parts[I].set_phase(wire::LOST);
+    Gang.Parts[I].set_may_have_run(true);
+    Released = true;
+  }
+  return Released ? judge(Gang) : GangNews::Nothing;
+}
+
 GangNews GangTracker::judge(TrackedGang &Gang) {
   const auto Ended = [](const wire::GangPart &Part) {
     return isTerminal(Part.phase());
--- a/src/coordinator/GangTracker.h
+++ b/src/coordinator/GangTracker.h
@@ -10,7 +10,9 @@
 #include "baobabcove/Scheduler.h"
 #include "wire.pb.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +33,9 @@
   bool Started = false;
   bool StopSent = false;
   Instant StopAgainAt;
+  /// When a member first told that it had ended without success and without a
+  /// checkpoint, after which the lead lets go of all others.
+  std::optional<Instant> BrokenSince;
   bool Ended = false;
   GangEnd End;
 };
@@ -58,10 +63,18 @@
   /// The worker \p Node is surely gone.
   GangNews memberLost(TrackedGang &Gang, const std::string &Node);
 
+  /// Takes the members for which \p IsSilent holds for lost once the gang has
+  /// been broken for longer than \p Patience, which must cover the time in
+  /// which the lead notices and the leases of the others lapse.
+  GangNews releaseSilent(TrackedGang &Gang, Instant Now, Milliseconds Patience,
+                         const std::function<bool(const NodeId &)> &IsSilent);
+
   /// Parts in a report that belong to no gang under way.
   std::vector<wire::GangPart> strays(const wire::Heartbeat &Report) const;
 
 private:
+  static void observePart(TrackedGang &Gang, std::size_t Member,
+                          const wire::Heartbeat &Report, Instant Now);
   static GangNews judge(TrackedGang &Gang);
   static void settleEnd(TrackedGang &Gang);
 
--- a/tests/coordinator/GangTrackerTest.cpp
+++ b/tests/coordinator/GangTrackerTest.cpp
@@ -52,6 +52,42 @@
   CHECK_TRUE(GangNews::Nothing == report(Gang, 1, wire::RUNNING));
 }
 
+TEST(GangTracker, TakesSilentMembersForLostSomeLeasesAfterOneHasTold) {
+  TrackedGang &Gang = gang(3);
+  const auto Release = [&](int AfterMs) {
+    return Tracker.releaseSilent(
+        Gang, Now + Milliseconds(AfterMs), Milliseconds(20000),
+        [](const NodeId &Node) { return Node != NodeId("n0"); });
+  };
+  CHECK_TRUE(GangNews::Nothing == Release(99000));
+  CHECK_TRUE(GangNews::Broken == report(Gang, 0, wire::LOST));
+  CHECK_TRUE(GangNews::Nothing == Release(20000));
+  CHECK_TRUE(GangNews::Ended == Release(20001));
+  CHECK_TRUE(GangResult::Lost == Gang.End.Result);
+  CHECK_TRUE(Gang.End.MayHaveRun);
+}
+
+TEST(GangTracker, KeepsAMemberThatIsHeardWhenOthersAreSilent) {
+  TrackedGang &Gang = gang(3);
+  report(Gang, 0, wire::FAILED);
+  report(Gang, 1, wire::RUNNING);
+  CHECK_TRUE(GangNews::Broken ==
+             Tracker.releaseSilent(
+                 Gang, Now + Milliseconds(30000), Milliseconds(20000),
+                 [](const NodeId &Node) { return Node == NodeId("n2"); }));
+  CHECK_TRUE(wire::RUNNING == Gang.Parts[1].phase());
+  CHECK_TRUE(wire::LOST == Gang.Parts[2].phase());
+}
+
+TEST(GangTracker, KeepsSilentMembersWhileACheckpointMayBeUnderWay) {
+  TrackedGang &Gang = gang(2);
+  report(Gang, 0, wire::STOPPED, 500, true);
+  CHECK_TRUE(GangNews::Nothing ==
+             Tracker.releaseSilent(Gang, Now + Milliseconds(99000),
+                                   Milliseconds(20000),
+                                   [](const NodeId &) { return true; }));
+}
+
 TEST(GangTracker, SucceedsOnlyWhenEveryMemberHas) {
   TrackedGang &Gang = gang(2);
   report(Gang, 0, wire::SUCCEEDED, 900);
