End the leases of workers that do not answer

Two workers are lost for good at 2.9 s; their agents live on and keep extending the lease in calls that the workers never answer, so that the lease is never reported as expired. An agent that restarts beside a lost worker reported no expiry at all. Change: an agent extends the lease only while the worker answers, keeps the end of the last lease across incarnations, and assumes one full grant for leases of earlier agents. Loss and return of the worker are logged.

--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -127,8 +127,8 @@
   RunOrders.clear();
   Orders.Clear();
   Listed = false;
+  WorkerAnswers = true;
   WorkerClockAt = BootInstant{};
-  LeaseUntil = BootInstant{};
 }
 
 void TaskAgent::attendLoop() {
@@ -229,6 +229,10 @@
   Report.set_wait_ms(static_cast<std::uint32_t>(Wait.count()));
   Report.set_orders_seen(Orders.revision());
   Report.set_worker(WorkerName);
+  Report.set_complete(Listed && (ListedAt == BootInstant::max() ||
+                                 Now - ListedAt < ListingTimeout));
+  Report.set_lapsed(!Report.complete() && LeaseUntil != BootInstant{} &&
+                    Now > LeaseUntil);
   if (!Worker)
     return Report;
   Report.set_service(Worker->Service.str());
@@ -240,10 +244,6 @@
   Report.set_rack(Worker->Rack.str());
   Report.set_draining(Worker->Draining);
   Report.set_remaining_ms(Worker->Remaining.count());
-  Report.set_complete(Listed && (ListedAt == BootInstant::max() ||
-                                 Now - ListedAt < ListingTimeout));
-  Report.set_lapsed(!Report.complete() && LeaseUntil != BootInstant{} &&
-                    Now > LeaseUntil);
   *Report.mutable_running() = {Running.begin(), Running.end()};
   *Report.mutable_ends() = {Ends.begin(), Ends.end()};
   for (wire::RunRefusal &Refusal : RunOrders.refusals())
@@ -265,6 +265,9 @@
   }
   GrantedUntil =
       std::max(GrantedUntil, SentAt + Milliseconds(NewOrders.grant_ms()));
+  // Leases that earlier agents of this worker gave end within one grant.
+  if (LeaseUntil == BootInstant{})
+    LeaseUntil = GrantedUntil;
   if (NewOrders.worker() != WorkerName || WorkerName.empty() ||
       NewOrders.revision() <= Orders.revision())
     return;
@@ -296,7 +299,10 @@
   Next.Term = Term;
   Next.Acknowledged = Orders.acknowledged_end();
   const BootInstant Now = BootClock::now();
-  if (WorkerClockAt != BootInstant{} && GrantedUntil > Now) {
+  // The lease of a worker that does not answer is not extended: while it is,
+  // the runs of a worker that is lost for good can never be started elsewhere.
+  const bool Answers = Now - ListedAt < ListingTimeout;
+  if (WorkerClockAt != BootInstant{} && Answers && GrantedUntil > Now) {
     const auto Left = double((GrantedUntil - WorkerClockAt).count());
     Next.Deadline =
         WorkerClock +
@@ -338,13 +344,31 @@
       Request.Deadline, Request.Acknowledged, Wait, Request.Term);
   const BootInstant Now = BootClock::now();
   if (!Listing) {
-    Stats.count("listing_failures");
+    noteListingFailure(Request, Listing.error());
     return false;
   }
   applyListing(Request, *Listing, RequestedAt, Now);
   return true;
 }
 
+void TaskAgent::noteListingFailure(const WorkerCall &Request,
+                                   const Error &Failure) {
+  Stats.count("listing_failures");
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  if (Request.Incarnation != WorkerName || !WorkerAnswers)
+    return;
+  WorkerAnswers = false;
+  LOG4CPLUS_WARN(
+      logOf("worker"),
+      LogFields("worker does not answer")
+          .add("worker", WorkerName)
+          .add("running", Running.size())
+          .add("lease_left_ms", std::max(LeaseUntil - BootClock::now(),
+                                         BootInstant::duration::zero())
+                                    .count())
+          .add("why", Failure.Detail));
+}
+
 void TaskAgent::applyListing(const WorkerCall &Request,
                              const WorkerRuns &Listing, BootInstant RequestedAt,
                              BootInstant Now) {
@@ -353,6 +377,12 @@
       (Listing.StartedAtMs && Worker->StartedAtMs &&
        Listing.StartedAtMs != Worker->StartedAtMs))
     return;
+  if (!WorkerAnswers)
+    LOG4CPLUS_INFO(logOf("worker"), LogFields("worker answers again")
+                                        .add("worker", WorkerName)
+                                        .add("running", Listing.Running.size())
+                                        .add("ends", Listing.Ends.size()));
+  WorkerAnswers = true;
   std::set<RunId> Known;
   for (const wire::RunStatus &Run : Listing.Running)
     Known.insert({Run.task(), Run.run()});
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -80,6 +80,7 @@
   void applyOrders(const wire::TaskOrders &Orders, BootInstant SentAt);
   void queueOrders();
   bool listRuns(Milliseconds Wait);
+  void noteListingFailure(const WorkerCall &Request, const Error &Failure);
   void applyListing(const WorkerCall &Request, const WorkerRuns &Listing,
                     BootInstant RequestedAt, BootInstant Now);
   bool hasWorkerClock() const;
@@ -117,6 +118,8 @@
   std::uint64_t DepartedWorkers = 0;
   bool Listed = false;
   BootInstant ListedAt{};
+  /// Whether the last listing that ended was answered.
+  bool WorkerAnswers = true;
   std::vector<wire::RunStatus> Running;
   std::vector<wire::RunEnd> Ends;
   /// The worker's clock in its last listing, which it read no later than at
@@ -125,7 +128,8 @@
   BootInstant WorkerClockAt{};
   /// End of the period for which the coordinator allows the runs to continue.
   BootInstant GrantedUntil{};
-  /// Latest possible end of any lease that was given to the worker.
+  /// Latest possible end of any lease that this agent, or an earlier one on
+  /// this node, gave to a worker; zero before the first grant.
   BootInstant LeaseUntil{};
 
   Epoch Term;
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -21,6 +21,8 @@
   std::set<RunId> Barred;
   int Starts = 0;
   bool LosesStarts = false;
+  /// Whether calls get no answer and have no effect.
+  bool Silent = false;
 
   void end(const std::string &Task, wire::RunEnding How) {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -56,6 +58,8 @@
                                     Epoch) override {
     std::this_thread::sleep_for(Milliseconds(5));
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    if (Worker.Silent)
+      return failure(ResultCode::OutcomeUnknown, "no answer");
     Worker.Deadline = std::max(Worker.Deadline, Deadline);
     Worker.Acknowledged = std::max(Worker.Acknowledged, Acknowledged);
     WorkerRuns Runs;
@@ -101,6 +105,11 @@
                               return Orders;
                             }));
     Kv.put(keys::Coordinator, "front " + Coordinator->address() + " nonce");
+    startAgent();
+    Agent->onHeartbeat(heartbeat(7, 1));
+  }
+
+  void startAgent() {
     Agent = std::make_unique<TaskAgent>(
         AgentSettings{NodeId("n1"), DataCentreName("z")}, Kv,
         [this](const WorkerHeartbeat &) {
@@ -108,7 +117,6 @@
         },
         Stats);
     Agent->start();
-    Agent->onHeartbeat(heartbeat(7, 1));
   }
 
   void teardown() override {
@@ -133,6 +141,17 @@
     return Last;
   }
 
+  void silenceWorker() {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Silent = true;
+  }
+
+  /// Sets how long the coordinator allows runs to continue.
+  void grant(Milliseconds Duration) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_grant_ms(static_cast<std::uint32_t>(Duration.count()));
+  }
+
   void order(std::uint64_t Revision, bool MayHaveBeenSent = false) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Orders.set_revision(Revision);
@@ -208,3 +227,45 @@
       [&] { return last().worker() == "n1/none#1" && last().complete(); }));
   CHECK_TRUE(last().draining());
 }
+
+// Pattern: a worker is lost for good while its agent lives on.
+TEST(TaskAgent, ReportsTheLeaseOfASilentWorkerAsExpired) {
+  grant(Milliseconds(300));
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  silenceWorker();
+  CHECK_TRUE(waitUntil([&] { return last().lapsed(); }));
+  CHECK_FALSE(last().complete());
+}
+
+// Pattern: a worker is lost for good, then its agent is restarted and never
+// hears from it. Earlier agents granted no lease that lasts longer than a
+// grant from now.
+TEST(TaskAgent, ReportsLeasesOfEarlierAgentsAsExpiredAfterOneGrant) {
+  grant(Milliseconds(300));
+  Agent->stop();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Last.Clear();
+  }
+  startAgent();
+  CHECK_TRUE(waitUntil([&] { return last().lapsed(); }));
+  STRCMP_EQUAL("", last().worker().c_str());
+}
+
+// Pattern: a worker restarts and is lost again before it answers.
+TEST(TaskAgent, ReportsLeasesOfEarlierIncarnationsAsExpired) {
+  grant(Milliseconds(300));
+  silenceWorker();
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil(
+      [&] { return last().worker() == "n1/i-1#8" && last().lapsed(); }));
+}
+
+TEST(TaskAgent, DoesNotReportALeaseAsExpiredBeforeItsGrantEnds) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  silenceWorker();
+  CHECK_TRUE(waitUntil([&] { return !last().complete(); }));
+  CHECK_FALSE(last().lapsed());
+}
