Report a worker that refuses connections as departed

Cause: a crashed worker's runs waited for the end of their lease, up to 6.5 s, although its host refuses connections to it at once.

--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -108,6 +108,10 @@
     return;
   LOG4CPLUS_INFO(logOf("worker"),
                  LogFields("worker left").add("worker", WorkerName));
+  departWorker();
+}
+
+void TaskAgent::departWorker() {
   resetWorkerState();
   Link.reset();
   // The departed worker is reported as an incarnation without runs, so that the
@@ -127,7 +131,7 @@
   RunOrders.clear();
   Orders.Clear();
   Listed = false;
-  WorkerAnswers = true;
+  Liveness = WorkerLiveness();
   WorkerClockAt = BootInstant{};
 }
 
@@ -354,19 +358,31 @@
 void TaskAgent::noteListingFailure(const WorkerCall &Request,
                                    const Error &Failure) {
   Stats.count("listing_failures");
+  const bool IsListening = Request.Link->isListening();
+  const BootInstant Now = BootClock::now();
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Request.Incarnation != WorkerName || !WorkerAnswers)
+  if (Request.Incarnation != WorkerName)
     return;
-  WorkerAnswers = false;
-  LOG4CPLUS_WARN(
-      logOf("worker"),
-      LogFields("worker does not answer")
-          .add("worker", WorkerName)
-          .add("running", Running.size())
-          .add("lease_left_ms", std::max(LeaseUntil - BootClock::now(),
-                                         BootInstant::duration::zero())
-                                    .count())
-          .add("why", Failure.Detail));
+  if (Liveness.answers()) {
+    const auto LeaseLeft =
+        std::max(LeaseUntil - Now, BootInstant::duration::zero());
+    LOG4CPLUS_WARN(logOf("worker"), LogFields("worker does not answer")
+                                        .add("worker", WorkerName)
+                                        .add("running", Running.size())
+                                        .add("lease_left_ms", LeaseLeft.count())
+                                        .add("listening", IsListening)
+                                        .add("why", Failure.Detail));
+  }
+  if (IsListening)
+    Liveness.noteSilence();
+  else
+    Liveness.noteRefusal(Now);
+  if (Liveness.hasEnded(Now)) {
+    LOG4CPLUS_WARN(logOf("worker"), LogFields("worker process has ended")
+                                        .add("worker", WorkerName)
+                                        .add("running", Running.size()));
+    departWorker();
+  }
 }
 
 void TaskAgent::applyListing(const WorkerCall &Request,
@@ -377,12 +393,12 @@
       (Listing.StartedAtMs && Worker->StartedAtMs &&
        Listing.StartedAtMs != Worker->StartedAtMs))
     return;
-  if (!WorkerAnswers)
+  if (!Liveness.answers())
     LOG4CPLUS_INFO(logOf("worker"), LogFields("worker answers again")
                                         .add("worker", WorkerName)
                                         .add("running", Listing.Running.size())
                                         .add("ends", Listing.Ends.size()));
-  WorkerAnswers = true;
+  Liveness.noteAnswer();
   std::set<RunId> Known;
   for (const wire::RunStatus &Run : Listing.Running)
     Known.insert({Run.task(), Run.run()});
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -7,6 +7,7 @@
 #include "store/TransactionalStore.h"
 #include "tasks/RunOrderTracker.h"
 #include "tasks/WorkerLink.h"
+#include "tasks/WorkerLiveness.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -81,6 +82,7 @@
   void queueOrders();
   bool listRuns(Milliseconds Wait);
   void noteListingFailure(const WorkerCall &Request, const Error &Failure);
+  void departWorker();
   void applyListing(const WorkerCall &Request, const WorkerRuns &Listing,
                     BootInstant RequestedAt, BootInstant Now);
   bool hasWorkerClock() const;
@@ -118,8 +120,8 @@
   std::uint64_t DepartedWorkers = 0;
   bool Listed = false;
   BootInstant ListedAt{};
-  /// Whether the last listing that ended was answered.
-  bool WorkerAnswers = true;
+  /// Judged by the listings of the current worker.
+  WorkerLiveness Liveness;
   std::vector<wire::RunStatus> Running;
   std::vector<wire::RunEnd> Ends;
   /// The worker's clock in its last listing, which it read no later than at
--- a/src/tasks/WorkerLink.h
+++ b/src/tasks/WorkerLink.h
@@ -92,6 +92,11 @@
   virtual Expected<WorkerRuns> renewAndList(Milliseconds Deadline,
                                             std::uint64_t Acknowledged,
                                             Milliseconds Wait, Epoch Term) = 0;
+
+  /// Returns false if the worker's host refuses connections to the worker's
+  /// address, where no process listens then; true in any other case, also when
+  /// there is no answer.
+  virtual bool isListening() = 0;
 };
 
 } // namespace baobabcove
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -23,6 +23,8 @@
   bool LosesStarts = false;
   /// Whether calls get no answer and have no effect.
   bool Silent = false;
+  /// Whether connections are refused: no process listens.
+  bool Refuses = false;
 
   void end(const std::string &Task, wire::RunEnding How) {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -58,7 +60,7 @@
                                     Epoch) override {
     std::this_thread::sleep_for(Milliseconds(5));
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    if (Worker.Silent)
+    if (Worker.Silent || Worker.Refuses)
       return failure(ResultCode::OutcomeUnknown, "no answer");
     Worker.Deadline = std::max(Worker.Deadline, Deadline);
     Worker.Acknowledged = std::max(Worker.Acknowledged, Acknowledged);
@@ -73,6 +75,10 @@
     Runs.Ends = Worker.Ends;
     return Runs;
   }
+  bool isListening() override {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return !Worker.Refuses;
+  }
 
 private:
   FakeWorker &Worker;
@@ -238,6 +244,20 @@
   CHECK_FALSE(last().complete());
 }
 
+// Pattern: a worker crashes while its agent lives on. Nothing runs on it any
+// more, so its runs need not wait for the end of the lease.
+TEST(TaskAgent, ReportsAWorkerThatRefusesConnectionsAsDeparted) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Refuses = true;
+  }
+  CHECK_TRUE(waitUntil(
+      [&] { return last().worker() == "n1/none#1" && last().complete(); }));
+  LONGS_EQUAL(0, last().running_size());
+}
+
 // Pattern: a worker is lost for good, then its agent is restarted and never
 // hears from it. Earlier agents granted no lease that lasts longer than a
 // grant from now.
@@ -268,4 +288,5 @@
   silenceWorker();
   CHECK_TRUE(waitUntil([&] { return !last().complete(); }));
   CHECK_FALSE(last().lapsed());
+  STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
 }
