Report an entry as not ready once the store stops answering it

An entry that the store turns away or that is cut off from it reported ready until its configuration was 3.5 s old, so that the platform sent it new clients for 5 s; their few retries ended at the same entry with 503. Change: readiness follows the configuration's watch: not ready after a failed call or a watch that is overdue by 600 ms.

--- a/src/tasks/ConfigFollower.cpp
+++ b/src/tasks/ConfigFollower.cpp
@@ -30,6 +30,10 @@
   return BootClock::now() - Follower.confirmedAt();
 }
 
+bool ConfigFollower::isCurrent(BootInstant Now) const {
+  return current() && Follower.isCurrent(Now);
+}
+
 void ConfigFollower::apply(const StoreChanges &Changes) {
   for (const StoreItem &Item : Changes.Items) {
     if (Item.Key != Key || Item.Revision == 0)
--- a/src/tasks/ConfigFollower.h
+++ b/src/tasks/ConfigFollower.h
@@ -32,6 +32,10 @@
   /// Returns the time since it was last confirmed that no newer version exists.
   Milliseconds age() const;
 
+  /// Whether a configuration is in force and the store confirms it. An entry
+  /// that returns false here should get no new clients.
+  bool isCurrent(BootInstant Now) const;
+
 private:
   void apply(const StoreChanges &Changes);
 
--- a/src/tasks/StoreFollower.cpp
+++ b/src/tasks/StoreFollower.cpp
@@ -10,6 +10,9 @@
 /// Delay between calls to a failing store; with it ten processes stay far below
 /// the rate limits of the store.
 constexpr Milliseconds RetryDelay{250};
+/// A watch is overdue this long after its wait; a slow store of the production
+/// sites answers within 240 ms.
+constexpr Milliseconds MaxAnswerTime{600};
 
 } // namespace
 
@@ -30,6 +33,11 @@
     Thread.join();
 }
 
+bool StoreFollower::isCurrent(BootInstant Now) const {
+  return confirmedAt() != BootInstant{} && !Unreachable &&
+         Now - CalledAt.load() <= Wait + MaxAnswerTime;
+}
+
 void StoreFollower::run() {
   while (!Stopping)
     if (!(Revision == 0 ? listAll() : follow()) && !Stopping)
@@ -38,6 +46,7 @@
 
 bool StoreFollower::listAll() {
   const BootInstant SentAt = BootClock::now();
+  CalledAt = SentAt;
   auto All = Kv.list(Prefix);
   if (!All) {
     noteFailure(All.error());
@@ -51,6 +60,7 @@
 
 bool StoreFollower::follow() {
   const BootInstant SentAt = BootClock::now();
+  CalledAt = SentAt;
   auto News = Kv.changes(Prefix, Revision, Wait);
   if (!News && News.error().Code == ResultCode::CompareFailed) {
     LOG4CPLUS_INFO(logOf("store"),
--- a/src/tasks/StoreFollower.h
+++ b/src/tasks/StoreFollower.h
@@ -40,6 +40,10 @@
   /// first answer.
   BootInstant confirmedAt() const { return ConfirmedAt.load(); }
 
+  /// Whether the store answers: the last call that ended was answered, and the
+  /// current one is not overdue at \p Now.
+  bool isCurrent(BootInstant Now) const;
+
 private:
   void run();
   bool listAll();
@@ -52,10 +56,12 @@
   const Milliseconds Wait;
   const FollowerEvents Events;
   std::atomic<BootInstant> ConfirmedAt{BootInstant{}};
+  /// When the current or last call was sent.
+  std::atomic<BootInstant> CalledAt{BootInstant{}};
   std::atomic<bool> Stopping{false};
   /// Zero until all keys have been listed.
   std::int64_t Revision = 0;
-  bool Unreachable = false;
+  std::atomic<bool> Unreachable{false};
   std::thread Thread;
 };
 
