--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -413,17 +413,19 @@
   const std::uint64_t LastEnd = Ends.empty() ? 0 : Ends.back().number();
   HasNews = HasNews ||
             (!Listing.Ends.empty() && Listing.Ends.back().number() > LastEnd);
-  // Listings can arrive out of order; an older one contains fewer ends.
-  if (RequestedAt < ListedAt && Listed && ListedAt != BootInstant::max() &&
-      !HasNews)
-    return;
-  Running = Listing.Running;
-  Ends = Listing.Ends;
-  Listed = true;
-  ListedAt = Now;
-  WorkerClock = Listing.Clock;
-  WorkerClockAt = Now;
   HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
+  // Listings can arrive out of order. The state of an overtaken one is older;
+  // what it says about orders that were answered before it still holds.
+  const bool IsOvertaken =
+      RequestedAt < ListedAt && Listed && ListedAt != BootInstant::max();
+  if (!IsOvertaken || HasNews) {
+    Running = Listing.Running;
+    Ends = Listing.Ends;
+    Listed = true;
+    ListedAt = Now;
+    WorkerClock = Listing.Clock;
+    WorkerClockAt = Now;
+  }
   queueOrders();
   if (HasNews) {
     ReportPending = true;
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -3,6 +3,7 @@
 #include "WaitUntil.h"
 #include "tasks/StoreKeys.h"
 
+#include <condition_variable>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -11,6 +12,38 @@
 
 namespace {
 
+/// Holds back the listing that follows a stop until a poll that was requested
+/// before it has been answered and the next poll has been sent.
+class ListingGate {
+public:
+  void pass(Milliseconds Wait, bool FollowsStop) {
+    std::unique_lock<std::mutex> Lock(Mutex);
+    if (Wait.count() == 0) {
+      StopListed = StopListed || FollowsStop;
+      Changed.notify_all();
+      if (FollowsStop)
+        Changed.wait(Lock, [&] { return LaterPolls > 0 || Open; });
+      return;
+    }
+    const bool IsLater = StopListed;
+    LaterPolls += IsLater ? 1 : 0;
+    Changed.notify_all();
+    Changed.wait(Lock, [&] { return Open || (!IsLater && StopListed); });
+  }
+  void open() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Open = true;
+    Changed.notify_all();
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool StopListed = false;
+  int LaterPolls = 0;
+  bool Open = false;
+};
+
 /// An in-memory worker, shared by the links to all of its incarnations.
 struct FakeWorker {
   std::mutex Mutex;
@@ -25,6 +58,8 @@
   bool Silent = false;
   /// Whether connections are refused: no process listens.
   bool Refuses = false;
+  /// Orders the answers to listings, if set.
+  ListingGate *Gate = nullptr;
 
   void end(const std::string &Task, wire::RunEnding How) {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -56,8 +91,17 @@
     return {CallOutcome::Done, wire::REFUSAL_REASON_UNSPECIFIED, ""};
   }
   Expected<WorkerRuns> renewAndList(Milliseconds Deadline,
-                                    std::uint64_t Acknowledged, Milliseconds,
-                                    Epoch) override {
+                                    std::uint64_t Acknowledged,
+                                    Milliseconds Wait, Epoch) override {
+    ListingGate *Gate = nullptr;
+    bool FollowsStop = false;
+    {
+      const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+      Gate = Worker.Gate;
+      FollowsStop = !Worker.Barred.empty();
+    }
+    if (Gate)
+      Gate->pass(Wait, FollowsStop);
     std::this_thread::sleep_for(Milliseconds(5));
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
     if (Worker.Silent || Worker.Refuses)
@@ -89,6 +133,7 @@
 TEST_GROUP(TaskAgent) {
   FakeKv Kv;
   FakeWorker Worker;
+  ListingGate Gate;
   Metrics Stats;
   std::mutex Mutex;
   wire::TaskOrders Orders;
@@ -126,6 +171,7 @@
   }
 
   void teardown() override {
+    Gate.open();
     Agent->stop();
     Agent.reset();
     Coordinator->shutdown(Milliseconds(0));
@@ -206,6 +252,19 @@
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
 }
 
+// Pattern: many runs are barred at once, so that listings overlap. The listing
+// that follows the stop is answered after one that was requested before it.
+TEST(TaskAgent, BarsARunByAListingThatIsOvertaken) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.LosesStarts = true;
+    Worker.Gate = &Gate;
+  }
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().refusals_size() == 1; }));
+}
+
 TEST(TaskAgent, IgnoresOrdersOfAnEarlierEpoch) {
   CHECK_TRUE(waitUntil([&] { return last().complete(); }));
   {
