Index placed tasks by node and skip steps that no longer fit

Cause: each report and each worker's orders went through all tasks of all jobs, and each waiting task of a step was searched for on all workers after one of them had not fitted: with 240 workers that report 2.5 times a second, the coordinator's work grew with workers times tasks. The map of refused tasks was never emptied. Change: an index of placed tasks by node, one search per step and plan once a task did not fit, step numbers without building task names, and expired retry delays are removed.

--- a/src/tasks/JobTracker.cpp
+++ b/src/tasks/JobTracker.cpp
@@ -26,8 +26,28 @@
   return NodeId(Incarnation.str().substr(0, Incarnation.str().find('/')));
 }
 
+void JobTracker::updatePlacedIndex() {
+  if (!IsPlacedIndexStale)
+    return;
+  Placed.clear();
+  for (auto &[Id, Job] : Jobs)
+    for (std::size_t At = 0; !Job.EndedMs && At < Job.size(); ++At)
+      if (Job.task(At).Phase == wire::TASK_PLACED)
+        Placed[nodeOf(Job.task(At).Worker)].push_back({&Job, At});
+  IsPlacedIndexStale = false;
+}
+
+const JobTracker::TaskRefs &JobTracker::placedOn(const NodeId &Node) {
+  static const TaskRefs None;
+  updatePlacedIndex();
+  const auto Found = Placed.find(Node);
+  return Found == Placed.end() ? None : Found->second;
+}
+
 void JobTracker::clear() {
   Jobs.clear();
+  Placed.clear();
+  IsPlacedIndexStale = true;
   Dirty.clear();
   RetryNotBefore.clear();
   AcknowledgedEnds.clear();
@@ -66,6 +86,7 @@
   const auto Found = Jobs.find(Id);
   if (Found == Jobs.end())
     return;
+  IsPlacedIndexStale = true;
   Found->second.restore(Stored);
   Found->second.Revision = Revision;
 }
@@ -117,27 +138,22 @@
 
 void JobTracker::adoptIncarnation(const NodeId &Node,
                                   const WorkerIncarnation &Incarnation) {
-  for (auto &[Id, Job] : Jobs) {
-    if (Job.EndedMs)
+  for (const TaskRef &At : placedOn(Node)) {
+    TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase != wire::TASK_PLACED || Task.Worker == Incarnation)
       continue;
-    for (std::size_t At = 0; At < Job.size(); ++At) {
-      TaskState &Task = Job.task(At);
-      if (Task.Phase != wire::TASK_PLACED || Task.Worker == Incarnation ||
-          nodeOf(Task.Worker) != Node)
-        continue;
-      // The incarnation that held the run has ended. A start that is still in
-      // flight could reach the new incarnation, so the run is barred there
-      // first.
-      LOG4CPLUS_INFO(runLog(), LogFields("worker restarted")
-                                   .add("task", toText(Job.name(At)))
-                                   .add("run", Task.Run)
-                                   .add("was", Task.Worker)
-                                   .add("now", Incarnation));
-      Task.Worker = Incarnation;
-      Task.Listed = false;
-      Task.StopRequested = true;
-      Dirty.insert(Id);
-    }
+    // The incarnation that held the run has ended. A start that is still in
+    // flight could reach the new incarnation, so the run is barred there
+    // first.
+    LOG4CPLUS_INFO(runLog(), LogFields("worker restarted")
+                                 .add("task", toText(At.Job->name(At.Task)))
+                                 .add("run", Task.Run)
+                                 .add("was", Task.Worker)
+                                 .add("now", Incarnation));
+    Task.Worker = Incarnation;
+    Task.Listed = false;
+    Task.StopRequested = true;
+    Dirty.insert(At.Job->id());
   }
 }
 
@@ -160,21 +176,16 @@
     if (!Run.checkpoint().empty())
       updateCheckpoint(At, Run.checkpoint());
   }
-  const NodeId Node(Report.node());
-  for (auto &[Id, Job] : Jobs) {
-    if (Job.EndedMs)
-      continue;
-    for (std::size_t At = 0; At < Job.size(); ++At) {
-      TaskState &Task = Job.task(At);
-      if (Task.Phase == wire::TASK_PLACED && Task.Worker == Incarnation &&
-          Task.Listed && !Task.StopRequested &&
-          Now.Boot - Task.LastListedAt > MissingRunTimeout) {
-        LOG4CPLUS_WARN(runLog(), LogFields("run missing from worker listing")
-                                     .add("task", toText(Job.name(At)))
-                                     .add("run", Task.Run)
-                                     .add("worker", Incarnation));
-        Task.StopRequested = true;
-      }
+  for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
+    TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase == wire::TASK_PLACED && Task.Worker == Incarnation &&
+        Task.Listed && !Task.StopRequested &&
+        Now.Boot - Task.LastListedAt > MissingRunTimeout) {
+      LOG4CPLUS_WARN(runLog(), LogFields("run missing from worker listing")
+                                   .add("task", toText(At.Job->name(At.Task)))
+                                   .add("run", Task.Run)
+                                   .add("worker", Incarnation));
+      Task.StopRequested = true;
     }
   }
 }
@@ -268,28 +279,26 @@
 }
 
 void JobTracker::expireLeases(const NodeId &Node, const ClockReading &Now) {
-  for (auto &[Id, Job] : Jobs) {
-    if (Job.EndedMs)
+  for (const TaskRef &At : placedOn(Node)) {
+    const TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase != wire::TASK_PLACED)
       continue;
-    for (std::size_t At = 0; At < Job.size(); ++At) {
-      const TaskState &Task = Job.task(At);
-      if (Task.Phase != wire::TASK_PLACED || nodeOf(Task.Worker) != Node)
-        continue;
-      LOG4CPLUS_INFO(runLog(), LogFields("lease of run expired")
-                                   .add("task", toText(Job.name(At)))
-                                   .add("run", Task.Run)
-                                   .add("worker", Task.Worker));
-      requeue({&Job, At}, Now, Milliseconds(0));
-    }
+    LOG4CPLUS_INFO(runLog(), LogFields("lease of run expired")
+                                 .add("task", toText(At.Job->name(At.Task)))
+                                 .add("run", Task.Run)
+                                 .add("worker", Task.Worker));
+    requeue(At, Now, Milliseconds(0));
   }
 }
 
-std::set<NodeId> JobTracker::nodesWithRuns() const {
+std::set<NodeId> JobTracker::nodesWithRuns() {
+  updatePlacedIndex();
   std::set<NodeId> Nodes;
-  for (const auto &[Id, Job] : Jobs)
-    for (std::size_t At = 0; !Job.EndedMs && At < Job.size(); ++At)
-      if (Job.task(At).Phase == wire::TASK_PLACED)
-        Nodes.insert(nodeOf(Job.task(At).Worker));
+  for (const auto &[Node, Tasks] : Placed)
+    if (std::any_of(Tasks.begin(), Tasks.end(), [](const TaskRef &At) {
+          return At.Job->task(At.Task).Phase == wire::TASK_PLACED;
+        }))
+      Nodes.insert(Node);
   return Nodes;
 }
 
@@ -382,31 +391,28 @@
   }
 }
 
-wire::TaskOrders JobTracker::ordersFor(const wire::TaskReport &Report) const {
+wire::TaskOrders JobTracker::ordersFor(const wire::TaskReport &Report) {
   const WorkerIncarnation Incarnation(Report.worker());
   wire::TaskOrders Orders;
   Orders.set_worker(Report.worker());
   std::set<std::pair<std::string, std::uint64_t>> Known;
-  for (const auto &[Id, Job] : Jobs) {
-    for (std::size_t At = 0; !Job.EndedMs && At < Job.size(); ++At) {
-      const TaskState &Task = Job.task(At);
-      if (Task.Phase != wire::TASK_PLACED || Task.Worker != Incarnation)
-        continue;
-      const std::string Name = toText(Job.name(At));
-      Known.insert({Name, Task.Run});
-      if (Task.StopRequested) {
-        wire::RunKey &Stop = *Orders.add_stops();
-        Stop.set_task(Name);
-        Stop.set_run(Task.Run);
-      } else if (!Task.Listed) {
-        wire::StartOrder &Start = *Orders.add_starts();
-        Start.set_task(Name);
-        Start.set_run(Task.Run);
-        Start.set_payload(Job.spec().payload());
-        Start.set_checkpoint(Task.Checkpoint);
-        Start.set_may_have_been_sent(Task.OrderedByAgent !=
-                                     Report.agent_life());
-      }
+  for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
+    const TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase != wire::TASK_PLACED || Task.Worker != Incarnation)
+      continue;
+    const std::string Name = toText(At.Job->name(At.Task));
+    Known.insert({Name, Task.Run});
+    if (Task.StopRequested) {
+      wire::RunKey &Stop = *Orders.add_stops();
+      Stop.set_task(Name);
+      Stop.set_run(Task.Run);
+    } else if (!Task.Listed) {
+      wire::StartOrder &Start = *Orders.add_starts();
+      Start.set_task(Name);
+      Start.set_run(Task.Run);
+      Start.set_payload(At.Job->spec().payload());
+      Start.set_checkpoint(Task.Checkpoint);
+      Start.set_may_have_been_sent(Task.OrderedByAgent != Report.agent_life());
     }
   }
   // Stops runs that the worker lists but that are not placed there.
--- a/src/tasks/JobTracker.h
+++ b/src/tasks/JobTracker.h
@@ -68,7 +68,7 @@
   void moveStalledRuns(const ClockReading &Now);
 
   /// Returns the nodes that have placed runs.
-  std::set<NodeId> nodesWithRuns() const;
+  std::set<NodeId> nodesWithRuns();
 
   /// Places waiting tasks and selects runs to preempt. \p Reports holds the
   /// newest reports of the reachable agents.
@@ -81,11 +81,15 @@
 
   /// Returns the orders for the worker of \p Report, without the epoch and the
   /// duration of the grant.
-  wire::TaskOrders ordersFor(const wire::TaskReport &Report) const;
+  wire::TaskOrders ordersFor(const wire::TaskReport &Report);
 
   /// Jobs whose progress has changed since it was last written to the store.
   std::set<JobId> &dirty() { return Dirty; }
-  std::map<JobId, TaskJob> &jobs() { return Jobs; }
+  /// The caller may change or remove jobs.
+  std::map<JobId, TaskJob> &jobs() {
+    IsPlacedIndexStale = true;
+    return Jobs;
+  }
   const std::map<JobId, TaskJob> &jobs() const { return Jobs; }
 
 private:
@@ -95,6 +99,15 @@
     std::size_t Task;
   };
 
+  using TaskRefs = std::vector<TaskRef>;
+
+  /// Returns the tasks that were placed on workers of \p Node at the last
+  /// change of the index; the caller checks whether they still are. Reports and
+  /// orders concern one node each, so that their cost must not grow with the
+  /// cell.
+  const TaskRefs &placedOn(const NodeId &Node);
+  void updatePlacedIndex();
+
   TaskState *findRun(const std::string &Name, std::uint64_t Run,
                      const WorkerIncarnation &Incarnation, TaskRef &At);
   void applyRunning(const wire::TaskReport &Report,
@@ -139,6 +152,10 @@
 
   double RemotePenalty;
   std::map<JobId, TaskJob> Jobs;
+  std::map<NodeId, TaskRefs> Placed;
+  /// Whether tasks may have been placed, or jobs removed, since the index was
+  /// built.
+  bool IsPlacedIndexStale = true;
   std::set<JobId> Dirty;
   /// Jobs with checkpoints that have not been stored yet.
   std::set<JobId> UnflushedCheckpoints;
--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/JobTrackerPlanning.cpp
@@ -71,6 +71,9 @@
 
 void JobTracker::plan(const std::vector<wire::TaskReport> &Reports,
                       const QueueConfig &Config, const ClockReading &Now) {
+  for (auto Retry = RetryNotBefore.begin(); Retry != RetryNotBefore.end();)
+    Retry = Retry->second <= Now.Boot ? RetryNotBefore.erase(Retry)
+                                      : std::next(Retry);
   PlanInput Input = makePlanInput(Reports, Config, Now);
   if (Input.Units.empty())
     return;
@@ -266,6 +269,8 @@
   const auto MayStart = [&](std::size_t At) {
     if (Job.task(At).Phase != wire::TASK_WAITING)
       return false;
+    if (RetryNotBefore.empty())
+      return true;
     const auto Retry = RetryNotBefore.find(toText(Job.name(At)));
     return Retry == RetryNotBefore.end() || Retry->second <= Now.Boot;
   };
@@ -321,6 +326,7 @@
       ++Run;
     Task.Run = Run;
     Task.Phase = wire::TASK_PLACED;
+    IsPlacedIndexStale = true;
     Task.Worker = Input.Workers[Start.Worker].Incarnation;
     Task.PlacedAt = Now.Boot;
     Task.OrderedByAgent = Input.Workers[Start.Worker].AgentIncarnation;
--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -86,18 +86,22 @@
   return first(Name.Occurrence, Name.Step) + Name.Index;
 }
 
-TaskName TaskJob::name(std::size_t At) const {
-  const std::size_t Within = At % TasksPerOccurrence;
-  const auto Next =
-      std::upper_bound(StepOffsets.begin(), StepOffsets.end(), Within);
+std::uint32_t TaskJob::stepNumber(std::size_t At) const {
+  const auto Next = std::upper_bound(StepOffsets.begin(), StepOffsets.end(),
+                                     At % TasksPerOccurrence);
   // Steps without tasks share an offset; the task belongs to the last of them.
-  const auto Step = static_cast<std::uint32_t>(Next - StepOffsets.begin() - 1);
-  return {id(), static_cast<std::uint32_t>(At / TasksPerOccurrence), Step,
-          static_cast<std::uint32_t>(Within - StepOffsets[Step])};
+  return static_cast<std::uint32_t>(Next - StepOffsets.begin() - 1);
+}
+
+TaskName TaskJob::name(std::size_t At) const {
+  const std::uint32_t Step = stepNumber(At);
+  return {
+      id(), static_cast<std::uint32_t>(At / TasksPerOccurrence), Step,
+      static_cast<std::uint32_t>(At % TasksPerOccurrence - StepOffsets[Step])};
 }
 
 const wire::StepSpec &TaskJob::step(std::size_t At) const {
-  return Spec->steps(static_cast<int>(name(At).Step));
+  return Spec->steps(static_cast<int>(stepNumber(At)));
 }
 
 std::size_t TaskJob::first(std::uint32_t Occurrence, std::uint32_t Step) const {
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -111,6 +111,9 @@
   std::int64_t Revision = 0;
 
 private:
+  /// Returns the number of the step that a task belongs to.
+  std::uint32_t stepNumber(std::size_t At) const;
+
   std::shared_ptr<const wire::TaskJobSpec> Spec;
   std::uint32_t Occurrences = 1;
   std::vector<std::size_t> StepOffsets;
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -41,7 +41,12 @@
   }
 
   TaskPlan run() {
+    // Steps of which a single task did not fit. Nothing is freed during a plan,
+    // so that the other tasks of the step do not fit either.
+    std::set<std::string> FullSteps;
     for (const PlanUnit &Unit : In.Units) {
+      if (FullSteps.count(Unit.StepKey))
+        continue;
       auto Placement = fitOn(Unit, Free, reservedFor(Unit));
       if (!Placement)
         Placement = findPlacement(Unit, Free, Unit.MayRunRemote);
@@ -49,6 +54,8 @@
         start(Unit, *Placement);
       else if (Unit.Guaranteed)
         reserveOrPreempt(Unit);
+      else
+        FullSteps.insert(Unit.StepKey);
     }
     return std::move(Out);
   }
--- a/tests/tasks/JobTrackerTest.cpp
+++ b/tests/tasks/JobTrackerTest.cpp
@@ -73,6 +73,39 @@
   TaskJob &job(const std::string &Id) { return Tracker.jobs().at(JobId(Id)); }
 };
 
+// Pattern: an ended job is removed while its worker still reports.
+TEST(JobTracker, GivesNoOrdersForARemovedJob) {
+  Tracker.addJob(jobOf("a", 1));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).starts_size());
+  Tracker.jobs().erase(JobId("a"));
+  LONGS_EQUAL(0, Tracker.ordersFor(Report).starts_size());
+  Tracker.applyReport(Report, Now);
+  Tracker.expireLeases(NodeId("n1"), Now);
+  CHECK_TRUE(Tracker.nodesWithRuns().empty());
+}
+
+// Pattern: hundreds of workers; the orders of each concern its own runs only.
+TEST(JobTracker, GivesEachWorkerTheOrdersOfItsOwnRuns) {
+  std::vector<wire::TaskReport> Reports;
+  for (int Node = 0; Node < 240; ++Node)
+    Reports.push_back(reportOf("n" + std::to_string(Node)));
+  // Half of the cell, below the load at which workers are kept free.
+  Tracker.addJob(jobOf("a", 240));
+  Tracker.plan(Reports, Config, Now);
+  std::set<std::string> Ordered;
+  for (const wire::TaskReport &Report : Reports) {
+    const wire::TaskOrders Orders = Tracker.ordersFor(Report);
+    for (const wire::StartOrder &Start : Orders.starts())
+      CHECK_TRUE(Ordered.insert(Start.task()).second);
+  }
+  LONGS_EQUAL(240, Ordered.size());
+  LONGS_EQUAL(120, Tracker.nodesWithRuns().size());
+  Tracker.expireLeases(*Tracker.nodesWithRuns().begin(), Now);
+  LONGS_EQUAL(119, Tracker.nodesWithRuns().size());
+}
+
 TEST(JobTracker, OrdersAPlacedRunUntilTheWorkerListsIt) {
   Tracker.addJob(jobOf("j", 1));
   wire::TaskReport Report = reportOf("n1");
--- a/tests/tasks/TaskPlannerTest.cpp
+++ b/tests/tasks/TaskPlannerTest.cpp
@@ -171,3 +171,19 @@
   Input.Units[0].MayPreempt = true;
   LONGS_EQUAL(1, planTasks(Input).Stops.size());
 }
+
+// Pattern: a burst of wide steps on a full cell. A step whose next task does
+// not fit is not searched for again, and holds up no other step.
+TEST(TaskPlanner, PlacesOtherStepsOnceAWideStepNoLongerFits) {
+  addWorker("w0", "r1");
+  Input.Workers[0].Free.Accelerators = 7;
+  for (std::size_t T = 0; T < 78; ++T) {
+    addUnit("wide", 1, 3, 1);
+    Input.Units.back().Tasks = {T};
+  }
+  addUnit("narrow", 1, 1, 2);
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(3, Plan.Starts.size());
+  LONGS_EQUAL(1, Plan.Starts[1].Task);
+  STRCMP_EQUAL("narrow", Plan.Starts[2].Job.str().c_str());
+}
