Pace the coordinator's rounds by the number of workers

Each report asks for a round, and a round looks at every worker, twice serializing its orders. Change: a pause of 0.1 ms a worker after each round, 50 ms at most; orders are serialized once and compared with the last ones published.

--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -14,6 +14,11 @@
 /// Longest time between rounds; due times, waits and leases are checked this
 /// often.
 constexpr Milliseconds RoundPeriod{100};
+/// Pause after each round, for each worker. Every report asks for a round, and
+/// a round looks at every worker; without a pause the work would grow with
+/// their product. Reports that arrive meanwhile share the next round.
+constexpr std::chrono::microseconds PausePerWorker{100};
+constexpr std::chrono::microseconds MaxPause{50000};
 /// Delay between attempts to read the store after the role was acquired.
 constexpr Milliseconds TakeoverRetryDelay{150};
 /// A worker whose agent has not reported for this long gets no new task; a
@@ -34,6 +39,11 @@
 
 } // namespace
 
+std::chrono::microseconds pauseAfterRound(std::size_t Workers) {
+  return std::min(PausePerWorker * static_cast<std::int64_t>(Workers),
+                  MaxPause);
+}
+
 TaskCoordinator::TaskCoordinator(TransactionalStore &Kv,
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
@@ -131,6 +141,9 @@
       HasWork = false;
     }
     round();
+    std::unique_lock<std::mutex> Lock(Mutex);
+    Wake.wait_for(Lock, pauseAfterRound(Sessions.size()),
+                  [&] { return Stopping; });
   }
 }
 
@@ -196,6 +209,7 @@
     for (auto &[Node, Session] : Sessions) {
       Session.HasNewReport = !Session.Report.node().empty();
       Session.Orders.Clear();
+      Session.PublishedOrders.clear();
       // Agents recognize the newest orders by this number across all terms.
       Session.Orders.set_revision(Term.Number.value() * RevisionsPerTerm);
     }
@@ -313,13 +327,14 @@
     if (Session.Report.node().empty())
       continue;
     wire::TaskOrders Orders = Tracker.ordersFor(Session.Report);
-    if (Session.Orders.revision() == 0)
-      Session.Orders.set_revision(Serving.value() * RevisionsPerTerm);
-    Orders.set_revision(Session.Orders.revision());
-    if (Orders.SerializeAsString() == Session.Orders.SerializeAsString())
+    std::string Serialized = Orders.SerializeAsString();
+    if (Serialized == Session.PublishedOrders)
       continue;
-    Orders.set_revision(Session.Orders.revision() + 1);
+    const std::uint64_t Last =
+        std::max(Session.Orders.revision(), Serving.value() * RevisionsPerTerm);
+    Orders.set_revision(Last + 1);
     Session.Orders = std::move(Orders);
+    Session.PublishedOrders = std::move(Serialized);
     Changed = true;
   }
   if (Changed)
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -10,6 +10,7 @@
 #include "tasks/QueueConfig.h"
 #include "tasks/WorkerSession.h"
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -31,6 +32,9 @@
   double RemotePenalty = 3;
 };
 
+/// Returns how long the coordinator of \p Workers workers pauses after a round.
+std::chrono::microseconds pauseAfterRound(std::size_t Workers);
+
 /// Schedules all jobs while this process holds the coordinator role. One thread
 /// processes reports, jobs and cancellations, plans, stores the result and only
 /// then publishes orders. Reports are answered from the threads of their
--- a/src/tasks/WorkerSession.h
+++ b/src/tasks/WorkerSession.h
@@ -6,6 +6,7 @@
 #include "tasks/TaskJob.h"
 
 #include <cstdint>
+#include <string>
 
 namespace baobabcove {
 
@@ -18,6 +19,8 @@
   BootInstant GrantedAt{};
   /// The current reply to the agent.
   wire::TaskOrders Orders;
+  /// The reply without its revision, serialized, to detect changes.
+  std::string PublishedOrders;
 };
 
 } // namespace baobabcove
