Keep the newer state when an overtaken listing resolves a barred run

Found in reading the diff: an overtaken listing that only proves that a run can never start also replaced the running tasks and ends by older ones until the next listing.

--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -413,9 +413,7 @@
   const std::uint64_t LastEnd = Ends.empty() ? 0 : Ends.back().number();
   HasNews = HasNews ||
             (!Listing.Ends.empty() && Listing.Ends.back().number() > LastEnd);
-  HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
-  // Listings can arrive out of order. The state of an overtaken one is older;
-  // what it says about orders that were answered before it still holds.
+  // Listings can arrive out of order; an older one contains fewer ends.
   const bool IsOvertaken =
       RequestedAt < ListedAt && Listed && ListedAt != BootInstant::max();
   if (!IsOvertaken || HasNews) {
@@ -426,6 +424,9 @@
     WorkerClock = Listing.Clock;
     WorkerClockAt = Now;
   }
+  // What an overtaken listing says about orders that the worker answered before
+  // it still holds.
+  HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
   queueOrders();
   if (HasNews) {
     ReportPending = true;
