Log slow rounds and the way of a cancellation

Runs of cancelled jobs were reported to run on long after the call was answered. The logs did not tell where the time went: between the entry that stored the cancellation and the coordinator, in the coordinator's rounds, or between the coordinator and the worker.

The entry now logs when a cancellation is stored, and the coordinator how long it took until the stops were published. A round over 250 ms is logged with the time of its parts, at most once a second. round_ms and cancel_publish_ms are new distributions.

--- a/src/tasks/JobIntake.cpp
+++ b/src/tasks/JobIntake.cpp
@@ -78,6 +78,8 @@
   } else if (!Result->Revision && !findItem(*Result, keys::cancel(Id))) {
     return unknownJob(Id);
   }
+  LOG4CPLUS_INFO(logOf("jobs"),
+                 LogFields("cancellation stored").add("job", Id));
   Catalog.markCancelled(Id);
   return {};
 }
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -32,11 +32,30 @@
 /// Ended jobs are removed this long after the end of their retention period.
 constexpr Milliseconds RemovalMargin{30000};
 
+/// A round that takes longer is logged, at most once in this period.
+constexpr Milliseconds SlowRound{250};
+constexpr Milliseconds SlowRoundLogPeriod{1000};
+
 /// Order revisions of each term start above those of all earlier terms.
 constexpr std::uint64_t RevisionsPerTerm = 1000000;
 
 ClockReading readClocks() { return {BootClock::now(), wallClockMs()}; }
 
+/// Measures consecutive parts of a piece of work.
+class LapTimer {
+public:
+  /// Returns the time since the last call or the construction.
+  Milliseconds lap() {
+    const BootInstant Now = BootClock::now();
+    const Milliseconds Lap = Now - Last;
+    Last = Now;
+    return Lap;
+  }
+
+private:
+  BootInstant Last = BootClock::now();
+};
+
 } // namespace
 
 std::chrono::microseconds pauseAfterRound(std::size_t Workers) {
@@ -124,7 +143,7 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (Current == Epoch())
     return;
-  Incoming.Cancels.push_back(Id);
+  Incoming.Cancels.push_back({Id, BootClock::now()});
   HasWork = true;
   Wake.notify_all();
 }
@@ -160,16 +179,50 @@
   }
   if (!Role->isConfirmed())
     return;
+  RoundTimes Times;
+  LapTimer Timer;
   // Earlier decisions must be in the store before new ones are made.
   if (!Tracker.dirty().empty() && !persist(*Term))
     return;
+  Times.Write = Timer.lap();
   const BootInstant Now = BootClock::now();
   Stats.count("rounds");
   drainInbox();
   applyReports(Now);
+  Times.Reports = Timer.lap();
   decide(Now);
-  if (persist(*Term))
+  Times.Plan = Timer.lap();
+  const bool IsWritten = persist(*Term);
+  Times.Write += Timer.lap();
+  if (IsWritten) {
     publish();
+    recordPublishedCancels();
+  }
+  Times.Publish = Timer.lap();
+  recordRound(Times, Now);
+}
+
+void TaskCoordinator::recordRound(const RoundTimes &Times, BootInstant Now) {
+  const Milliseconds Total = Times.total();
+  Stats.sample("round_ms", double(Total.count()));
+  if (Total < SlowRound || Now - SlowRoundLoggedAt < SlowRoundLogPeriod)
+    return;
+  SlowRoundLoggedAt = Now;
+  std::size_t Agents = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Agents = Sessions.size();
+  }
+  LOG4CPLUS_WARN(logOf("coordinator"),
+                 LogFields("slow round")
+                     .add("epoch", Current)
+                     .add("total_ms", Total.count())
+                     .add("reports_ms", Times.Reports.count())
+                     .add("plan_ms", Times.Plan.count())
+                     .add("write_ms", Times.Write.count())
+                     .add("publish_ms", Times.Publish.count())
+                     .add("jobs", Tracker.jobs().size())
+                     .add("agents", Agents));
 }
 
 bool TaskCoordinator::takeOver(const CoordinatorTerm &Term) {
@@ -186,6 +239,7 @@
   }
   const ClockReading Now = readClocks();
   Tracker.clear();
+  UnpublishedCancels.clear();
   for (const StoreItem &Item : All->Items) {
     auto Spec = std::make_shared<wire::TaskJobSpec>();
     if (Item.Key.rfind(keys::Jobs, 0) == 0 && Spec->ParseFromString(Item.Value))
@@ -232,6 +286,7 @@
   Current = Epoch();
   Serving = Epoch();
   Tracker.clear();
+  UnpublishedCancels.clear();
   Incoming = Inbox();
   Sessions.clear();
   OrdersChanged.notify_all();
@@ -245,8 +300,22 @@
   }
   for (auto &Spec : Received.Jobs)
     Tracker.addJob(std::move(Spec));
-  for (const JobId &Id : Received.Cancels)
-    Tracker.cancel(Id, readClocks());
+  for (const ReceivedCancel &Cancel : Received.Cancels) {
+    Tracker.cancel(Cancel.Job, readClocks());
+    UnpublishedCancels.push_back(Cancel);
+  }
+}
+
+void TaskCoordinator::recordPublishedCancels() {
+  const BootInstant Now = BootClock::now();
+  for (const ReceivedCancel &Cancel : UnpublishedCancels) {
+    const Milliseconds Waited = Now - Cancel.At;
+    Stats.sample("cancel_publish_ms", double(Waited.count()));
+    LOG4CPLUS_INFO(logOf("jobs"), LogFields("cancellation published")
+                                      .add("job", Cancel.Job)
+                                      .add("waited_ms", Waited.count()));
+  }
+  UnpublishedCancels.clear();
 }
 
 void TaskCoordinator::applyReports(BootInstant Now) {
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -65,10 +65,24 @@
   std::string dump() const;
 
 private:
+  struct ReceivedCancel {
+    JobId Job;
+    BootInstant At;
+  };
+
   /// Input received since the last round.
   struct Inbox {
     std::vector<std::shared_ptr<const wire::TaskJobSpec>> Jobs;
-    std::vector<JobId> Cancels;
+    std::vector<ReceivedCancel> Cancels;
+  };
+
+  /// How long the parts of a round took.
+  struct RoundTimes {
+    Milliseconds Reports{0};
+    Milliseconds Plan{0};
+    Milliseconds Write{0};
+    Milliseconds Publish{0};
+    Milliseconds total() const { return Reports + Plan + Write + Publish; }
   };
 
   void run();
@@ -80,6 +94,8 @@
   void decide(BootInstant Now);
   bool persist(const CoordinatorTerm &Term);
   void publish();
+  void recordRound(const RoundTimes &Times, BootInstant Now);
+  void recordPublishedCancels();
 
   TransactionalStore &Kv;
   const CoordinatorSettings Settings;
@@ -102,6 +118,9 @@
   Epoch Current;
   JobTracker Tracker;
   ProgressWriter Writer;
+  /// Cancellations whose stops have not been published.
+  std::vector<ReceivedCancel> UnpublishedCancels;
+  BootInstant SlowRoundLoggedAt;
   std::thread Thread;
 };
 
