Draw random numbers of the policy bench in a defined order

Two expressions draw twice from one generator, as arguments of one call and as operands of one product. Building with -ffp-contract=off changed nothing.

Each draw is now a statement of its own, in the order in which x86-64 made them.

--- a/programs/policy_bench/CellSimulator.cpp
+++ b/programs/policy_bench/CellSimulator.cpp
@@ -283,7 +283,8 @@
 Milliseconds CellSimulator::checkpointTime() {
   std::uniform_int_distribution<int> Usual(500, 8000);
   std::bernoulli_distribution Slow(0.1);
-  return Milliseconds(Usual(Random) * (Slow(Random) ? 10 : 1));
+  const int UsualMs = Usual(Random);
+  return Milliseconds(UsualMs * (Slow(Random) ? 10 : 1));
 }
 
 void CellSimulator::execute(const StopGang &Stop) {
--- a/programs/policy_bench/Workload.cpp
+++ b/programs/policy_bench/Workload.cpp
@@ -268,8 +268,10 @@
     for (int I = 0; I < LargeBurstJobs; ++I)
       Add(Profile.Classes.size() - 1 - std::size_t(I % 2), AtMs);
   }
-  while (Work < Load * Capacity)
-    Add(Generator.drawClass(), Generator.drawArrivalMs());
+  while (Work < Load * Capacity) {
+    const std::int64_t AtMs = Generator.drawArrivalMs();
+    Add(Generator.drawClass(), AtMs);
+  }
   std::sort(Result.Jobs.begin(), Result.Jobs.end(),
             [](const PlannedJob &L, const PlannedJob &R) {
               return L.Info.Submitted < R.Info.Submitted;
