Refuse 64-bit numbers out of range on every architecture

The JSON parser converts such a number through a double and compares the result with its source.

fromJson now refuses a message in which a 64-bit field has its largest value, which no caller needs.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "base/HttpClient.h"
 
+#include <algorithm>
+#include <limits>
 #include <sstream>
 
 #include <Poco/Net/HTTPRequest.h>
@@ -7,6 +9,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
+#include <google/protobuf/reflection.h>
 #include <google/protobuf/util/json_util.h>
 
 namespace baobabcove {
@@ -33,6 +36,34 @@
          Body.size() != std::size_t(Header.getContentLength64());
 }
 
+/// Whether any 64-bit field has its largest value. On some architectures the
+/// JSON parser gives it this value instead of refusing a number that is out of
+/// range.
+bool hasSaturatedNumber(const google::protobuf::Message &Message) {
+  using google::protobuf::FieldDescriptor;
+  const google::protobuf::Reflection &Fields = *Message.GetReflection();
+  std::vector<const FieldDescriptor *> Present;
+  Fields.ListFields(Message, &Present);
+  const auto IsSaturated = [&](const FieldDescriptor *Field) {
+    if (Field->cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+      if (!Field->is_repeated())
+        return hasSaturatedNumber(Fields.GetMessage(Message, Field));
+      const auto Elements =
+          Fields.GetRepeatedFieldRef<google::protobuf::Message>(Message, Field);
+      return std::any_of(Elements.begin(), Elements.end(), &hasSaturatedNumber);
+    }
+    if (Field->is_repeated())
+      return false;
+    if (Field->cpp_type() == FieldDescriptor::CPPTYPE_UINT64)
+      return Fields.GetUInt64(Message, Field) ==
+             std::numeric_limits<std::uint64_t>::max();
+    return Field->cpp_type() == FieldDescriptor::CPPTYPE_INT64 &&
+           Fields.GetInt64(Message, Field) ==
+               std::numeric_limits<std::int64_t>::max();
+  };
+  return std::any_of(Present.begin(), Present.end(), IsSaturated);
+}
+
 } // namespace
 
 HttpClient::HttpClient(std::string Address) : Address(std::move(Address)) {}
@@ -132,6 +163,10 @@
                         google::protobuf::Message &Message) {
   const auto Status =
       google::protobuf::util::JsonStringToMessage(Json, &Message);
+  if (Status.ok() && hasSaturatedNumber(Message))
+    return failure(ResultCode::MalformedRequest,
+                   "A number in the " + Message.GetDescriptor()->name() +
+                       " is out of range.");
   if (Status.ok())
     return {};
   return failure(ResultCode::MalformedRequest,
