Wake only the agent whose orders have changed

Every publication woke the waiting calls of all agents, two for each of 70 workers, to look whether their orders had changed. Publications follow reports, of which there are some hundred a second, so that the wake-ups grow with the square of the workers and leave no processor time for the rounds.

Each session has its own condition variable now, which is notified when its orders change. attend_calls and attend_wakeups count the calls and the wake-ups.

The test failed before: with 20 waiting agents, one order woke all of them.

--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -80,14 +80,15 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Stopping = true;
+    notifyAllSessions();
   }
   Wake.notify_all();
-  OrdersChanged.notify_all();
   if (Thread.joinable())
     Thread.join();
 }
 
 wire::TaskOrders TaskCoordinator::attend(const wire::TaskReport &Report) {
+  Stats.count("attend_calls");
   const NodeId Node(Report.node());
   const Instant Until = monotonicNow() + Milliseconds(Report.wait_ms());
   std::unique_lock<std::mutex> Lock(Mutex);
@@ -105,7 +106,9 @@
     HasWork = true;
     Wake.notify_all();
   }
-  OrdersChanged.wait_until(Lock, Until, [&] {
+  const auto OrdersChanged = Session.OrdersChanged;
+  OrdersChanged->wait_until(Lock, Until, [&] {
+    Stats.count("attend_wakeups");
     return Stopping ||
            (Serving != Epoch() &&
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
@@ -288,8 +291,13 @@
   Tracker.clear();
   UnpublishedCancels.clear();
   Incoming = Inbox();
+  notifyAllSessions();
   Sessions.clear();
-  OrdersChanged.notify_all();
+}
+
+void TaskCoordinator::notifyAllSessions() {
+  for (const auto &[Node, Session] : Sessions)
+    Session.OrdersChanged->notify_all();
 }
 
 void TaskCoordinator::drainInbox() {
@@ -391,7 +399,6 @@
 
 void TaskCoordinator::publish() {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  bool Changed = false;
   for (auto &[Node, Session] : Sessions) {
     if (Session.Report.node().empty())
       continue;
@@ -404,10 +411,8 @@
     Orders.set_revision(Last + 1);
     Session.Orders = std::move(Orders);
     Session.PublishedOrders = std::move(Serialized);
-    Changed = true;
+    Session.OrdersChanged->notify_all();
   }
-  if (Changed)
-    OrdersChanged.notify_all();
 }
 
 std::string TaskCoordinator::dump() const {
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -96,6 +96,8 @@
   void publish();
   void recordRound(const RoundTimes &Times, BootInstant Now);
   void recordPublishedCancels();
+  /// Ends the waits of all agents. The mutex must be locked.
+  void notifyAllSessions();
 
   TransactionalStore &Kv;
   const CoordinatorSettings Settings;
@@ -106,7 +108,6 @@
 
   mutable std::mutex Mutex;
   std::condition_variable Wake;
-  std::condition_variable OrdersChanged;
   bool Stopping = false;
   bool HasWork = false;
   Inbox Incoming;
--- a/src/tasks/WorkerSession.h
+++ b/src/tasks/WorkerSession.h
@@ -5,7 +5,9 @@
 #include "tasks.pb.h"
 #include "tasks/TaskJob.h"
 
+#include <condition_variable>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace baobabcove {
@@ -21,6 +23,10 @@
   wire::TaskOrders Orders;
   /// The reply without its revision, serialized, to detect changes.
   std::string PublishedOrders;
+  /// Notified when the orders change. Calls that wait for them share it, so
+  /// that it outlives the session.
+  std::shared_ptr<std::condition_variable> OrdersChanged =
+      std::make_shared<std::condition_variable>();
 };
 
 } // namespace baobabcove
--- a/tests/tasks/TaskCoordinatorTest.cpp
+++ b/tests/tasks/TaskCoordinatorTest.cpp
@@ -1,19 +1,81 @@
 #include "tasks/TaskCoordinator.h"
+#include "FakeKv.h"
+#include "WaitUntil.h"
+
+#include <atomic>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace baobabcove;
 
-TEST_GROUP(TaskCoordinator){
-    /// Returns an upper bound on the workers that all rounds of a second look
-    /// at.
-    static double workersPerSecond(std::size_t Workers){
-        const double RoundsPerSecond = 1e6 /
-                                       double(pauseAfterRound(Workers).count());
-return RoundsPerSecond * double(Workers);
+namespace {
+
+constexpr std::uint32_t LongWaitMs = 30000;
+
+/// Returns an upper bound on the workers that all rounds of a second look at.
+double workersPerSecond(std::size_t Workers) {
+  const double RoundsPerSecond =
+      1e6 / double(pauseAfterRound(Workers).count());
+  return RoundsPerSecond * double(Workers);
 }
+
+wire::TaskReport reportOf(const std::string &Node, std::uint64_t Sequence,
+                          std::uint32_t WaitMs) {
+  wire::TaskReport Report;
+  Report.set_node(Node);
+  Report.set_worker(Node + "/w#1");
+  Report.set_service("planner");
+  Report.set_milli_cores(32000);
+  Report.set_memory_mb(131072);
+  Report.set_accelerators(8);
+  Report.set_complete(true);
+  Report.set_agent_life(1);
+  Report.set_sequence(Sequence);
+  Report.set_wait_ms(WaitMs);
+  return Report;
 }
-;
+
+std::shared_ptr<wire::TaskJobSpec> jobOf(const std::string &Id) {
+  auto Spec = std::make_shared<wire::TaskJobSpec>();
+  Spec->set_id(Id);
+  Spec->set_queue("q");
+  Spec->set_service("planner");
+  Spec->set_max_attempts(2);
+  Spec->set_stretch(3);
+  wire::StepSpec &Step = *Spec->add_steps();
+  Step.set_count(1);
+  Step.set_accelerators(1);
+  Step.set_estimate_ms(5000);
+  return Spec;
+}
+
+} // namespace
+
+TEST_GROUP(TaskCoordinator) {
+  FakeKv Kv;
+  Metrics Stats;
+  CoordinatorRole Role{Kv, "front 1:1", Milliseconds(60000), [] {}};
+  TaskCoordinator Coordinator{
+      Kv, {}, [] { return std::make_shared<const QueueConfig>(); }, Stats};
+
+  void setup() override {
+    Role.start();
+    Role.noteRoleKey(false);
+    Coordinator.start(Role);
+    CHECK_TRUE(waitUntil([&] { return counter("rounds") > 0; }));
+  }
+
+  void teardown() override {
+    Coordinator.stop();
+    Role.stop();
+  }
+
+  std::uint64_t counter(const std::string &Name) const {
+    const auto Counters = Stats.dump();
+    return Counters->optValue<std::uint64_t>(Name, 0);
+  }
+};
 
 // Pattern: hundreds of workers report twice a second, and each report asks for
 // a round that looks at all of them.
@@ -27,3 +89,32 @@
   CHECK_TRUE(pauseAfterRound(11) < Milliseconds(2));
   CHECK_TRUE(pauseAfterRound(9000) <= Milliseconds(50));
 }
+
+// Pattern: each publication wakes the waiting calls of all agents, so that a
+// small instance has no processor time left for its rounds.
+TEST(TaskCoordinator, WakesOnlyTheAgentWhoseOrdersChanged) {
+  constexpr std::uint64_t Agents = 20;
+  std::atomic<int> Started{0};
+  std::vector<std::thread> Calls;
+  for (std::uint64_t N = 0; N < Agents; ++N)
+    Calls.emplace_back([&, N] {
+      const std::string Node = "n" + std::to_string(N);
+      // The first answer has the orders that are in force.
+      auto Orders = Coordinator.attend(reportOf(Node, 1, LongWaitMs));
+      wire::TaskReport Report = reportOf(Node, 2, LongWaitMs);
+      Report.set_orders_seen(Orders.revision());
+      Orders = Coordinator.attend(Report);
+      Started += Orders.starts_size();
+    });
+  CHECK_TRUE(waitUntil([&] { return counter("attend_calls") == 2 * Agents; }));
+  const std::uint64_t Rounds = counter("rounds");
+  CHECK_TRUE(waitUntil([&] { return counter("rounds") > Rounds + 1; }));
+  const std::uint64_t Before = counter("attend_wakeups");
+  Coordinator.onJob(jobOf("job1"));
+  CHECK_TRUE(waitUntil([&] { return Started == 1; }));
+  const std::uint64_t Wakeups = counter("attend_wakeups") - Before;
+  Coordinator.stop();
+  for (std::thread &Call : Calls)
+    Call.join();
+  CHECK(Wakeups < Agents / 2);
+}
