Run no round for a poll without news

Callers saw urgent jobs start seconds late and runs of cancelled jobs go on when a small entry coordinated.

Every report asked for a round: 70 agents poll 175 times a second, and each round plans for all workers and compiles the orders of all agents. Nearly all of these polls repeat what an earlier report said. A small instance was never done with them.

An agent sends news, such as an end, without a wait. Only these reports and changes of an agent's or a worker's incarnation or state ask for a round now; the progress that polls carry is applied by the periodic round every 100 ms.

The test failed before: 200 polls brought a round each.

--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -41,6 +41,15 @@
 
 ClockReading readClocks() { return {BootClock::now(), wallClockMs()}; }
 
+/// Whether a report calls for a round at once. An agent sends its news without
+/// a wait; its polls repeat them and are applied by the next periodic round.
+bool hasNews(const wire::TaskReport &Known, const wire::TaskReport &Report) {
+  return Report.wait_ms() == 0 || Known.agent_life() != Report.agent_life() ||
+         Known.worker() != Report.worker() ||
+         Known.complete() != Report.complete() ||
+         Known.lapsed() != Report.lapsed();
+}
+
 /// Measures consecutive parts of a piece of work.
 class LapTimer {
 public:
@@ -98,13 +107,15 @@
   WorkerSession &Session = Sessions[Node];
   Session.GrantedAt = BootClock::now();
   const wire::TaskReport &Known = Session.Report;
+  if (hasNews(Known, Report)) {
+    HasWork = true;
+    Wake.notify_all();
+  }
   if (Known.agent_life() < Report.agent_life() ||
       (Known.agent_life() == Report.agent_life() &&
        Known.sequence() < Report.sequence())) {
     Session.Report = Report;
     Session.HasNewReport = true;
-    HasWork = true;
-    Wake.notify_all();
   }
   const auto OrdersChanged = Session.OrdersChanged;
   OrdersChanged->wait_until(Lock, Until, [&] {
--- a/tests/tasks/TaskCoordinatorTest.cpp
+++ b/tests/tasks/TaskCoordinatorTest.cpp
@@ -15,8 +15,7 @@
 
 /// Returns an upper bound on the workers that all rounds of a second look at.
 double workersPerSecond(std::size_t Workers) {
-  const double RoundsPerSecond =
-      1e6 / double(pauseAfterRound(Workers).count());
+  const double RoundsPerSecond = 1e6 / double(pauseAfterRound(Workers).count());
   return RoundsPerSecond * double(Workers);
 }
 
@@ -118,3 +117,41 @@
     Call.join();
   CHECK(Wakeups < Agents / 2);
 }
+
+// Pattern: the polls of all agents ask for a round each, so that a small
+// instance plans all the time and its decisions come seconds late.
+TEST(TaskCoordinator, RunsNoRoundForAPollWithoutNews) {
+  (void)Coordinator.attend(reportOf("n1", 1, 1));
+  const std::uint64_t RoundsBefore = counter("rounds");
+  const Instant Begin = monotonicNow();
+  constexpr std::uint64_t Polls = 200;
+  std::uint64_t OrdersSeen = 0;
+  for (std::uint64_t Sequence = 2; Sequence < 2 + Polls; ++Sequence) {
+    wire::TaskReport Poll = reportOf("n1", Sequence, 1);
+    Poll.set_orders_seen(OrdersSeen);
+    OrdersSeen = Coordinator.attend(Poll).revision();
+  }
+  const std::uint64_t Rounds = counter("rounds") - RoundsBefore;
+  // Periodic rounds go on.
+  const auto PeriodicRounds =
+      std::uint64_t((monotonicNow() - Begin) / Milliseconds(100)) + 1;
+  CHECK(Rounds <= PeriodicRounds + 5);
+}
+
+TEST(TaskCoordinator, AppliesTheNewsOfAReport) {
+  (void)Coordinator.attend(reportOf("n1", 1, 0));
+  Coordinator.onJob(jobOf("job1"));
+  wire::TaskOrders Orders;
+  CHECK_TRUE(waitUntil([&] {
+    Orders = Coordinator.attend(reportOf("n1", 2, 0));
+    return Orders.starts_size() == 1;
+  }));
+  wire::TaskReport Report = reportOf("n1", 3, 0);
+  wire::RunEnd &End = *Report.add_ends();
+  End.set_number(1);
+  End.set_task(Orders.starts(0).task());
+  End.set_run(1);
+  End.set_ending(wire::RUN_DONE);
+  CHECK_TRUE(waitUntil(
+      [&] { return Coordinator.attend(Report).acknowledged_end() == 1; }));
+}
