Hand the coordinator role to a stronger entry that asks for it

An entry that is stronger by a tenth of a core now asks for the role by a key in the store, once the holder has held it for a second, and with growing pauses while it does not get it. The holder ends its term and then frees the key. It confirms nothing in between, so that the next term starts after the last grant of the old one, as after an orderly stop.

With the request ignored by the holder the test fails.

--- a/src/tasks/CoordinatorRole.cpp
+++ b/src/tasks/CoordinatorRole.cpp
@@ -8,6 +8,10 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <utility>
+
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
 
 namespace baobabcove {
 
@@ -29,6 +33,15 @@
 /// Delay of a process with no share at all. Processes of a deployment start
 /// within 300 ms of each other.
 constexpr Milliseconds MaxAcquireDelay{500};
+/// A process is clearly stronger if its acquisition delay is shorter by this,
+/// which corresponds to a tenth of a core.
+constexpr Milliseconds MinAdvantage{100};
+/// A holder is not asked for the role before it has held it for this long. The
+/// time doubles with each request that does not bring the role.
+constexpr Milliseconds FirstRequestDelay{1000};
+constexpr Milliseconds MaxRequestDelay{16000};
+/// Lease of a request, in which the holder's watch reports it.
+constexpr Milliseconds RequestTtl{2000};
 
 } // namespace
 
@@ -38,12 +51,20 @@
       std::lround(Missing * double(MaxAcquireDelay.count()))));
 }
 
+Milliseconds acquisitionDelayOf(const std::string &RoleValue) {
+  const Poco::StringTokenizer Fields(RoleValue, " ");
+  int Delay = 0;
+  if (Fields.count() < 4 || !Poco::NumberParser::tryParse(Fields[3], Delay))
+    return Milliseconds(0);
+  return Milliseconds(Delay);
+}
+
 CoordinatorRole::CoordinatorRole(TransactionalStore &Kv, std::string Value,
                                  Milliseconds Ttl,
                                  std::function<void()> OnChange,
                                  Milliseconds AcquireDelay)
     : Kv(Kv), Value(std::move(Value)), Ttl(Ttl), OnChange(std::move(OnChange)),
-      AcquireDelay(AcquireDelay) {}
+      AcquireDelay(AcquireDelay), RequestDelay(FirstRequestDelay) {}
 
 CoordinatorRole::~CoordinatorRole() { stop(); }
 
@@ -61,10 +82,23 @@
     Thread.join();
 }
 
-void CoordinatorRole::noteRoleKey(bool Taken) {
+void CoordinatorRole::noteRoleKey(bool Taken, Milliseconds HolderDelay) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    if (RoleTaken != Taken || CurrentHolderDelay != HolderDelay)
+      HolderSince = BootClock::now();
     RoleTaken = Taken;
+    CurrentHolderDelay = HolderDelay;
+    HasNews = true;
+  }
+  Wake.notify_all();
+}
+
+void CoordinatorRole::noteRequest(Milliseconds RequesterDelay) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    IsRequested = Held && RequesterDelay + MinAdvantage <= AcquireDelay;
+    HasNews = true;
   }
   Wake.notify_all();
 }
@@ -100,9 +134,8 @@
     Lock.unlock();
     const Milliseconds Delay = advance();
     Lock.lock();
-    const bool WaitsForRole = !Held && RoleTaken;
-    Wake.wait_for(Lock, Delay,
-                  [&] { return Stopping || (WaitsForRole && !RoleTaken); });
+    Wake.wait_for(Lock, Delay, [&] { return Stopping || HasNews; });
+    HasNews = false;
   }
   const std::int64_t LeaseToRevoke = Lease;
   Held.reset();
@@ -119,15 +152,19 @@
 Milliseconds CoordinatorRole::advance() {
   bool HoldsRole = false;
   bool RoleIsFree = false;
+  bool MustHandOver = false;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     HoldsRole = Held.has_value();
     RoleIsFree = !RoleTaken;
+    MustHandOver = std::exchange(IsRequested, false) && HoldsRole;
   }
+  if (MustHandOver)
+    return handOver();
   if (HoldsRole)
     return renew();
   if (!RoleIsFree)
-    return IdleWait;
+    return requestFromWeaker();
   return staysFree() ? acquire() : Milliseconds(0);
 }
 
@@ -143,7 +180,8 @@
   if (!Granted)
     return RetryDelay;
   // The random suffix identifies this write when the answer is lost.
-  const std::string UniqueValue = Value + " " + randomName();
+  const std::string UniqueValue =
+      Value + " " + randomName() + " " + std::to_string(AcquireDelay.count());
   Transaction Change;
   Change.Conditions.push_back({keys::Coordinator, 0});
   Change.Writes.push_back({keys::Coordinator, UniqueValue, *Granted});
@@ -161,6 +199,8 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     Lease = *Granted;
     RoleTaken = true;
+    RequestDelay = FirstRequestDelay;
+    IsRequested = false;
   }
   setHeld(Revision, Sent + Ttl - LeaseMargin);
   return Ttl / RenewalsPerLease;
@@ -196,4 +236,60 @@
   return RetryDelay;
 }
 
+Milliseconds CoordinatorRole::requestFromWeaker() {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (CurrentHolderDelay < AcquireDelay + MinAdvantage)
+      return IdleWait;
+    const Milliseconds HeldFor = BootClock::now() - HolderSince;
+    if (HeldFor < RequestDelay)
+      return RequestDelay - HeldFor;
+    RequestDelay = std::min(RequestDelay * 2, MaxRequestDelay);
+    // The next request waits for the longer time from now on.
+    HolderSince = BootClock::now();
+  }
+  if (Kv.health().isUnavailable(BootClock::now()))
+    return RetryDelay;
+  const bool IsWritten = writeRequest();
+  LOG4CPLUS_INFO(logOf("role"),
+                 LogFields("coordinator role requested")
+                     .add("delay_ms", AcquireDelay.count())
+                     .add("outcome", IsWritten ? "written" : "not written"));
+  return RetryDelay;
+}
+
+bool CoordinatorRole::writeRequest() {
+  const auto Granted = Kv.grant(RequestTtl);
+  if (!Granted)
+    return false;
+  Transaction Change;
+  Change.Conditions.push_back({keys::RoleRequest, 0});
+  Change.Writes.push_back(
+      {keys::RoleRequest, std::to_string(AcquireDelay.count()), *Granted});
+  const auto Result = Kv.commit(Change);
+  return Result && Result->Revision;
+}
+
+Milliseconds CoordinatorRole::handOver() {
+  std::int64_t LeaseToRevoke = 0;
+  Epoch Number;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (!Held)
+      return Milliseconds(0);
+    Number = Held->Number;
+    LeaseToRevoke = std::exchange(Lease, 0);
+    Held.reset();
+    // Orders and grants end before another process can acquire the role.
+    ValidUntil = BootInstant{};
+  }
+  OnChange();
+  const auto Ended = Kv.revoke(LeaseToRevoke);
+  LOG4CPLUS_INFO(logOf("role"),
+                 LogFields("coordinator role handed over")
+                     .add("epoch", Number)
+                     .add("outcome", Ended ? "done" : Ended.error().Detail));
+  return IdleWait;
+}
+
 } // namespace baobabcove
--- a/src/tasks/CoordinatorRole.h
+++ b/src/tasks/CoordinatorRole.h
@@ -26,8 +26,13 @@
 /// it acquires a free role, so that a stronger process comes first.
 Milliseconds acquisitionDelay(double CpuShare);
 
+/// Returns the acquisition delay of the process that wrote \p RoleValue to the
+/// role key, or zero if the value does not have it.
+Milliseconds acquisitionDelayOf(const std::string &RoleValue);
+
 /// Acquires, renews and releases the coordinator role, a key in the store that
-/// is bound to a lease. Thread-safe.
+/// is bound to a lease. A process asks a clearly weaker holder for the role,
+/// and a holder hands it to a clearly stronger process that asks. Thread-safe.
 class CoordinatorRole {
 public:
   /// \p Value is written to the role key and identifies this process.
@@ -43,8 +48,12 @@
   /// Releases the role, so that another process can acquire it immediately.
   void stop();
 
-  /// Reports a change of the role key in the store: whether a process holds it.
-  void noteRoleKey(bool Taken);
+  /// Reports a change of the role key in the store: whether a process holds it,
+  /// and the acquisition delay of that process.
+  void noteRoleKey(bool Taken, Milliseconds HolderDelay = Milliseconds(0));
+
+  /// Reports that a process with \p RequesterDelay asks for the role.
+  void noteRequest(Milliseconds RequesterDelay);
 
   /// Returns the term if this process holds the role. The caller must not act
   /// on it unless isConfirmed() is true.
@@ -63,6 +72,12 @@
   bool staysFree();
   Milliseconds acquire();
   Milliseconds renew();
+  /// Asks the holder for the role, if it is weaker and has held the role for a
+  /// while.
+  Milliseconds requestFromWeaker();
+  bool writeRequest();
+  /// Ends the term and frees the role for the process that asked for it.
+  Milliseconds handOver();
   void setHeld(std::int64_t Revision, BootInstant ValidUntil);
 
   TransactionalStore &Kv;
@@ -75,6 +90,15 @@
   std::condition_variable Wake;
   bool Stopping = false;
   bool RoleTaken = true;
+  /// Whether the role key has changed or the role was asked for since the last
+  /// step of the role's thread.
+  bool HasNews = false;
+  /// Acquisition delay of the process that holds the role.
+  Milliseconds CurrentHolderDelay{0};
+  BootInstant HolderSince{};
+  /// How long a holder is left alone; grows with each unsuccessful request.
+  Milliseconds RequestDelay;
+  bool IsRequested = false;
   std::optional<CoordinatorTerm> Held;
   std::int64_t Lease = 0;
   std::atomic<BootInstant> ValidUntil{BootInstant{}};
--- a/src/tasks/JobCatalog.cpp
+++ b/src/tasks/JobCatalog.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include <Poco/NumberParser.h>
+
 namespace baobabcove {
 
 namespace {
@@ -56,6 +58,8 @@
     markCancelled(*Cancel);
   else if (Item.Key == keys::Coordinator)
     applyRoleHolder(Item);
+  else if (Item.Key == keys::RoleRequest && Item.Revision)
+    applyRoleRequest(Item);
 }
 
 void JobCatalog::applyJob(const JobId &Id, const StoreItem &Item) {
@@ -124,6 +128,12 @@
     Listener->onRoleKeyChange();
 }
 
+void JobCatalog::applyRoleRequest(const StoreItem &Item) {
+  int Delay = 0;
+  if (Listener && Poco::NumberParser::tryParse(Item.Value, Delay))
+    Listener->onRoleRequest(Milliseconds(Delay));
+}
+
 std::optional<CatalogEntry> JobCatalog::find(const JobId &Id) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Found = Entries.find(Id);
--- a/src/tasks/JobCatalog.h
+++ b/src/tasks/JobCatalog.h
@@ -34,6 +34,8 @@
   virtual void onJob(std::shared_ptr<const wire::TaskJobSpec> Spec) = 0;
   virtual void onCancel(const JobId &Id) = 0;
   virtual void onRoleKeyChange() = 0;
+  /// A process with the given acquisition delay asks for the role.
+  virtual void onRoleRequest(Milliseconds /*AcquireDelay*/) {}
 };
 
 /// In-memory copy of all jobs in the store, for answering clients. Thread-safe.
@@ -63,6 +65,7 @@
   void applyJob(const JobId &Id, const StoreItem &Item);
   void applyProgress(const JobId &Id, const StoreItem &Item);
   void applyRoleHolder(const StoreItem &Item);
+  void applyRoleRequest(const StoreItem &Item);
 
   CatalogListener *Listener;
   mutable std::mutex Mutex;
--- a/src/tasks/StoreKeys.h
+++ b/src/tasks/StoreKeys.h
@@ -12,9 +12,12 @@
 
 /// Prefix of all keys below.
 inline const std::string All = "baobabcove/";
-/// The coordinator role: "NODE ADDRESS NONCE", bound to the lease of its
-/// holder.
+/// The coordinator role: "NODE ADDRESS NONCE DELAY", bound to the lease of its
+/// holder; DELAY is the holder's acquisition delay in milliseconds.
 inline const std::string Coordinator = "baobabcove/coordinator";
+/// The request of a stronger process for the role: its acquisition delay in
+/// milliseconds, bound to a short lease.
+inline const std::string RoleRequest = "baobabcove/role-request";
 /// Accepted jobs, one key each, never rewritten.
 inline const std::string Jobs = "baobabcove/job/";
 /// Progress of jobs, written by the coordinator only.
--- a/tests/tasks/CoordinatorRoleTest.cpp
+++ b/tests/tasks/CoordinatorRoleTest.cpp
@@ -99,3 +99,44 @@
   Weak.noteRoleKey(false);
   CHECK_TRUE(waitUntil([&] { return Weak.term().has_value(); }));
 }
+
+// Pattern: the strong entries lose the role in turn, a weak one acquires it and
+// keeps it for the rest of the day, with rounds that take seconds.
+TEST(CoordinatorRole, IsHandedToAStrongerProcessThatAsks) {
+  CoordinatorRole Weak(
+      Kv, "weak 4:4", Milliseconds(60000), [] {}, acquisitionDelay(0.12));
+  Weak.start();
+  Weak.noteRoleKey(false);
+  CHECK_TRUE(waitUntil([&] { return Weak.term().has_value(); }));
+  const Epoch First = Weak.term()->Number;
+  One.start();
+  One.noteRoleKey(true, acquisitionDelayOf(Kv.value(keys::Coordinator)));
+  CHECK_TRUE(waitUntil([&] { return !Kv.value(keys::RoleRequest).empty(); }));
+  Weak.noteRequest(Milliseconds(std::stoi(Kv.value(keys::RoleRequest))));
+  CHECK_TRUE(waitUntil([&] { return Kv.value(keys::Coordinator).empty(); }));
+  CHECK_FALSE(Weak.term().has_value());
+  CHECK_FALSE(Weak.isConfirmed());
+  One.noteRoleKey(false);
+  CHECK_TRUE(waitUntil([&] { return One.term().has_value(); }));
+  CHECK_TRUE(First < One.term()->Number);
+}
+
+TEST(CoordinatorRole, IsKeptWhenTheProcessThatAsksIsNotStronger) {
+  CoordinatorRole Weak(
+      Kv, "weak 4:4", Milliseconds(60000), [] {}, acquisitionDelay(0.12));
+  Weak.start();
+  Weak.noteRoleKey(false);
+  CHECK_TRUE(waitUntil([&] { return Weak.term().has_value(); }));
+  Weak.noteRequest(acquisitionDelay(0.12));
+  Weak.noteRequest(acquisitionDelay(0.15));
+  Weak.stop();
+  STRCMP_EQUAL("", Kv.value(keys::RoleRequest).c_str());
+  CHECK_FALSE(Weak.term().has_value());
+}
+
+TEST(CoordinatorRole, ReadsTheDelayOfTheHolder) {
+  LONGS_EQUAL(380, acquisitionDelayOf("n 10.0.0.1:7 nonce 380").count());
+  // Written by an earlier version.
+  LONGS_EQUAL(0, acquisitionDelayOf("n 10.0.0.1:7 nonce").count());
+  LONGS_EQUAL(0, acquisitionDelayOf("n 10.0.0.1:7 nonce x").count());
+}
--- a/tests/tasks/JobCatalogTest.cpp
+++ b/tests/tasks/JobCatalogTest.cpp
@@ -83,3 +83,21 @@
   }));
   Configuration.stop();
 }
+
+TEST(JobCatalog, ReportsRequestsForTheRole) {
+  struct : CatalogListener {
+    void onJob(std::shared_ptr<const wire::TaskJobSpec>) override {}
+    void onCancel(const JobId &) override {}
+    void onRoleKeyChange() override {}
+    void onRoleRequest(Milliseconds AcquireDelay) override {
+      Requests.push_back(AcquireDelay.count());
+    }
+    std::vector<std::int64_t> Requests;
+  } Listener;
+  JobCatalog Observed{&Listener};
+  Observed.apply({{{keys::RoleRequest, "40", 7, 7}}, 7});
+  Observed.apply({{{keys::RoleRequest, "no number", 8, 8}}, 8});
+  Observed.apply({{{keys::RoleRequest, "", 0, 0}}, 9});
+  LONGS_EQUAL(1, Listener.Requests.size());
+  LONGS_EQUAL(40, Listener.Requests[0]);
+}
