Keep the threads of the RPC server between calls

The coordinator had 136 threads for 70 agents, and new ones started and ended all the time: the server keeps two idle threads by default, each call that is held occupies one, and the next call starts another.

Threads now wait for the next call when they have answered one.

--- a/src/rpc/RpcServer.cpp
+++ b/src/rpc/RpcServer.cpp
@@ -11,6 +11,9 @@
 constexpr int MinPingIntervalMs = 300;
 constexpr int KeepAliveMs = 1000;
 constexpr int MaxMessageBytes = 4 << 20;
+/// Threads that have answered a call wait for the next one up to this number;
+/// by default two do, and each further call starts a thread.
+constexpr int MaxIdleThreads = 512;
 
 class EntryService : public wire::Entry::Service {
 public:
@@ -111,6 +114,8 @@
         GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
         MinPingIntervalMs);
     Builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+    Builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS,
+                                MaxIdleThreads);
     if (HasEntry)
       Builder.RegisterService(&EntryServer);
     if (HasAgent)
