Let the coordinator set how often agents poll it

62 agents polled it 155 times a second, whatever it could bear. A poll costs about 0.4 ms of an aarch64 core, so that half of the instance's share went into polls that bring nothing new.

The coordinator now tells agents how long it holds their next poll: 0.4 s as before if its share of a core allows it, up to 2 s otherwise. News and orders do not wait for polls, so that starts, stops and ends are as fast as before. A worker counts as unreachable when its poll is 1.1 s overdue, as before.

The tests are for the new field; the polls were fixed at 0.4 s before.

--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-/// Longest time that the coordinator may hold a report without new orders, and
-/// therefore the report period of an idle worker.
-constexpr Milliseconds AttendWait{400};
+/// How long the coordinator may hold a poll without new orders, unless it says
+/// otherwise, and therefore the report period of an idle worker.
+constexpr Milliseconds DefaultPollWait{400};
+constexpr Milliseconds MaxPollWait{2000};
 /// Time beyond that wait before the call times out and the coordinator is
 /// looked up again.
 constexpr Milliseconds AttendTimeoutMargin{900};
@@ -42,7 +43,7 @@
                      LinkFactory Links, Metrics &Stats)
     : Settings(std::move(Settings)), Kv(Kv), Links(std::move(Links)),
       Stats(Stats), Incarnation(static_cast<std::uint64_t>(wallClockMs())),
-      Queue(MaxQueuedOrders) {}
+      PollWait(DefaultPollWait), Queue(MaxQueuedOrders) {}
 
 TaskAgent::~TaskAgent() { stop(); }
 
@@ -137,10 +138,12 @@
 
 void TaskAgent::attendLoop() {
   for (;;) {
+    Milliseconds Wait{0};
     {
       std::unique_lock<std::mutex> Lock(Mutex);
       if (Stopping)
         return;
+      Wait = PollWait;
       if (Coordinator.empty()) {
         Lock.unlock();
         const bool Found = findCoordinator();
@@ -152,7 +155,7 @@
         }
       }
     }
-    if (!exchange(AttendWait)) {
+    if (!exchange(Wait)) {
       std::unique_lock<std::mutex> Lock(Mutex);
       StateChanged.wait_for(Lock, CoordinatorSearchDelay,
                             [&] { return Stopping; });
@@ -220,6 +223,7 @@
                              : Answer.error().Detail));
   Peers.forget(Address);
   Coordinator.clear();
+  PollWait = DefaultPollWait;
   return false;
 }
 
@@ -267,6 +271,8 @@
     Term = Epoch(NewOrders.epoch());
     StateChanged.notify_all();
   }
+  if (NewOrders.poll_ms())
+    PollWait = std::min(Milliseconds(NewOrders.poll_ms()), MaxPollWait);
   GrantedUntil =
       std::max(GrantedUntil, SentAt + Milliseconds(NewOrders.grant_ms()));
   // Leases that earlier agents of this worker gave end within one grant.
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -111,6 +111,8 @@
   bool Stopping = false;
   bool ReportPending = false;
   std::string Coordinator;
+  /// How long the coordinator may hold the next poll.
+  Milliseconds PollWait;
   std::uint64_t Sequence = 0;
 
   std::optional<WorkerHeartbeat> Worker;
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -21,9 +21,12 @@
 constexpr std::chrono::microseconds MaxPause{50000};
 /// Delay between attempts to read the store after the role was acquired.
 constexpr Milliseconds TakeoverRetryDelay{150};
-/// A worker whose agent has not reported for this long gets no new task; a
-/// reachable agent reports twice a second.
-constexpr Milliseconds ReportTimeout{1500};
+/// Polls that one core answers in a second beside the rounds.
+constexpr double PollsPerCore = 360;
+constexpr Milliseconds MinPollInterval{400};
+constexpr Milliseconds MaxPollInterval{2000};
+/// A worker gets no new task if its agent's poll is overdue by this.
+constexpr Milliseconds ReportMargin{1100};
 /// Lowest rate of a worker's clock relative to real time (the platform allows
 /// clocks that are 2 % slow), and the time that a worker takes to end runs
 /// whose lease expired.
@@ -72,6 +75,13 @@
                   MaxPause);
 }
 
+Milliseconds pollInterval(std::size_t Agents, double CpuShare) {
+  const double IntervalMs = 1000 * double(Agents) / (PollsPerCore * CpuShare);
+  return Milliseconds(static_cast<std::int64_t>(
+      std::clamp(IntervalMs, double(MinPollInterval.count()),
+                 double(MaxPollInterval.count()))));
+}
+
 TaskCoordinator::TaskCoordinator(TransactionalStore &Kv,
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
@@ -135,6 +145,8 @@
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
   Reply.set_grant_ms(static_cast<std::uint32_t>(Settings.Grant.count()));
+  Reply.set_poll_ms(static_cast<std::uint32_t>(
+      pollInterval(Sessions.size(), Settings.CpuShare).count()));
   return Reply;
 }
 
@@ -372,6 +384,8 @@
   std::vector<wire::TaskReport> Reachable;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    const Milliseconds ReportTimeout =
+        pollInterval(Sessions.size(), Settings.CpuShare) + ReportMargin;
     for (const auto &[Node, Session] : Sessions)
       if (Session.Report.complete() && Now - Session.GrantedAt < ReportTimeout)
         Reachable.push_back(Session.Report);
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -30,11 +30,17 @@
   Milliseconds StatusRetention{120000};
   /// Factor by which work away from its data takes longer.
   double RemotePenalty = 3;
+  /// Share of a core that this process may use.
+  double CpuShare = 1;
 };
 
 /// Returns how long the coordinator of \p Workers workers pauses after a round.
 std::chrono::microseconds pauseAfterRound(std::size_t Workers);
 
+/// Returns how long the coordinator holds the poll of each of \p Agents agents
+/// if it may use \p CpuShare of a core. News and orders do not wait for polls.
+Milliseconds pollInterval(std::size_t Agents, double CpuShare);
+
 /// Schedules all jobs while this process holds the coordinator role. One thread
 /// processes reports, jobs and cancellations, plans, stores the result and only
 /// then publishes orders. Reports are answered from the threads of their
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -349,3 +349,17 @@
   CHECK_FALSE(last().lapsed());
   STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
 }
+
+TEST(TaskAgent, PollsAsOftenAsTheCoordinatorAsks) {
+  CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 400; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_poll_ms(700);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 700; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_poll_ms(60000);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 2000; }));
+}
--- a/tests/tasks/TaskCoordinatorTest.cpp
+++ b/tests/tasks/TaskCoordinatorTest.cpp
@@ -155,3 +155,13 @@
   CHECK_TRUE(waitUntil(
       [&] { return Coordinator.attend(Report).acknowledged_end() == 1; }));
 }
+
+// Pattern: seventy agents poll an entry of 0.12 core so often that it has no
+// processor time left for its decisions.
+TEST(TaskCoordinator, LetsAgentsPollAsOftenAsItsProcessorAllows) {
+  LONGS_EQUAL(400, pollInterval(11, 0.25).count());
+  LONGS_EQUAL(400, pollInterval(70, 0.5).count());
+  CHECK_TRUE(70 * 1000.0 / double(pollInterval(70, 0.12).count()) <= 45);
+  LONGS_EQUAL(2000, pollInterval(9000, 0.5).count());
+  LONGS_EQUAL(400, Coordinator.attend(reportOf("n1", 1, 0)).poll_ms());
+}
