End an entry's shutdown once its connections have ended

What callers saw: an entry that got SIGTERM while idle, or while every connection was kept open by a client, logged "Graceful shutdown started" and did not end for ten minutes, the whole shutdown timeout.

Cause: HttpServer::drain waited until currentConnections() + queuedConnections() was zero. When POCO's TCPServer stops, it puts a message for an idle thread into the same queue. With no idle thread the message stays there, and queuedConnections() stays at one.

Evidence: a debugger shows the main thread in drain() 20 s after SIGTERM. Of two entries, the one that had answered a request ended and the one that had not stayed, with the store up and with the store stopped at the same moment: the store is not the cause. A program of POCO's server alone showed 0 connections, 0 threads and 1 queued after stop().

Change: drain waits for the threads of the server; each open connection has one. stop() wakes one idle thread only, so the idle time of the threads is 500 ms instead of POCO's 10 s.

DrainsWithoutAnyConnection and DrainsAfterKeptConnectionsHaveEnded failed before.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t MaxDiscardedBytes = 8 << 20;
 constexpr std::size_t ReadBlockBytes = 16384;
 constexpr Milliseconds DrainPollPeriod{10};
+/// A thread without a connection ends after this time. Stopping the server
+/// wakes only one of several idle threads.
+constexpr Milliseconds ThreadIdleTime{500};
 
 Poco::Timespan timespan(Milliseconds Duration) {
   return Poco::Timespan(Poco::Timespan::TimeDiff(Duration.count()) * 1000);
@@ -180,6 +183,7 @@
     BoundAddress = Socket.address().toString();
     Poco::Net::HTTPServerParams::Ptr Params = new Poco::Net::HTTPServerParams;
     Params->setMaxThreads(static_cast<int>(Limits.Threads));
+    Params->setThreadIdleTime(timespan(ThreadIdleTime));
     Params->setMaxQueued(static_cast<int>(Limits.Connections));
     Params->setKeepAlive(true);
     Params->setKeepAliveTimeout(timespan(Limits.IdleTimeout));
@@ -203,7 +207,9 @@
     State.Closing = true;
     Server->stop();
     const Instant Deadline = monotonicNow() + Timeout;
-    while (Server->currentConnections() + Server->queuedConnections() > 0) {
+    // Each open connection has a thread. The length of the queue does not tell:
+    // stop() can leave a message to the threads in it.
+    while (Server->currentThreads() > 0) {
       if (monotonicNow() >= Deadline)
         return false;
       std::this_thread::sleep_for(DrainPollPeriod);
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -19,6 +19,7 @@
     Limits.Threads = 4;
     Limits.BodyBytes = 1000;
     Limits.ReceiveTimeout = Milliseconds(400);
+    Limits.IdleTimeout = Milliseconds(400);
     auto Served =
         serveHttp("127.0.0.1:0", Limits, [](const HttpRequest &Request) {
           HttpResponse Response;
@@ -75,3 +76,17 @@
   STRCMP_EQUAL("got x", send("x")->Body.c_str());
   CHECK_TRUE(Server->drain(Milliseconds(5000)));
 }
+
+// Guards against entries that never ended when they were stopped while idle.
+TEST(HttpServer, DrainsWithoutAnyConnection) {
+  CHECK_TRUE(Server->drain(Milliseconds(5000)));
+}
+
+// Guards against entries that never ended when clients kept all connections.
+TEST(HttpServer, DrainsAfterKeptConnectionsHaveEnded) {
+  HttpClient Client(Server->address());
+  HttpCall Call;
+  Call.Path = "/x";
+  CHECK_TRUE(Client.call(Call).has_value());
+  CHECK_TRUE(Server->drain(Milliseconds(5000)));
+}
