End a job that must not run again in one write

Attempt 1 ran on two workers, one of which was killed; attempt 2 ran on two workers after another entry had become coordinator.

Cause: when a gang ended without success, the coordinator wrote its job as queued and, after its next decision, wrote it as failed with JobOutcomeUnknown. A coordinator that took over between the two writes found a queued job and started it. The record's may_have_run was written, but nothing read it.

Change: the write that records the end of the gang also ends the job, by the rule that the scheduler uses, notRepeatable(). There is no time in which the record is queued.

NeverQueuesAJobThatIsNotIdempotentAndMayHaveRun failed before, with the old rule moved to JobStateMachine::applyGangEnd() unchanged: the record was queued.

--- a/include/baobabcove/Scheduler.h
+++ b/include/baobabcove/Scheduler.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -150,6 +151,10 @@
   bool Checkpointed = false;
 };
 
+/// Returns why a job ends with its gang because it is not idempotent, or
+/// nothing when \p End allows another attempt.
+std::optional<Error> notRepeatable(bool Idempotent, const GangEnd &End);
+
 /// Tuning parameters of a scheduler.
 struct SchedulerOptions {
   /// "packing" (the default), "best-fit" or "first-fit".
--- a/src/coordinator/CoordinatorActions.cpp
+++ b/src/coordinator/CoordinatorActions.cpp
@@ -71,16 +71,8 @@
   RecordWriter.enqueue(
       Job,
       [this, Number, End](wire::JobRecord &Record) {
-        const bool Done = End.Result == GangResult::Succeeded;
-        if (Record.attempt() != Number || hasEnded(Record) ||
-            !JobStates.applyEvent(Record, Done ? "finish" : "requeue"))
-          return false;
-        Record.set_progress_ms(
-            static_cast<std::uint64_t>(End.Progress.count()));
-        Record.set_may_have_run(Record.may_have_run() || End.MayHaveRun);
-        if (Done)
-          Record.set_ended_at_ms(wallClockMs());
-        return true;
+        return Record.attempt() == Number &&
+               JobStates.applyGangEnd(Record, End);
       },
       [this, Job, Ended] {
         postEvent(EndRecordedEvent{Job, Ended});
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -22,6 +22,20 @@
   return "broken";
 }
 
+std::optional<Error> notRepeatable(bool Idempotent, const GangEnd &End) {
+  if (Idempotent || !End.MayHaveRun || End.Result == GangResult::Succeeded)
+    return std::nullopt;
+  if (End.Result == GangResult::Failed)
+    return Error{ResultCode::JobFailed,
+                 "A task failed on " + End.FaultyWorker.str() +
+                     "; a job that is not idempotent is not retried."};
+  if (End.Checkpointed)
+    return std::nullopt;
+  return Error{
+      ResultCode::JobOutcomeUnknown,
+      "The job was stopped without a checkpoint after it had started."};
+}
+
 Scheduler::Scheduler(const SchedulerOptions &Options)
     : Impl(std::make_unique<Core>(Options)) {}
 
--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -296,10 +296,8 @@
   ++Gang.Failures;
   if (!End.FaultyWorker.empty())
     Gang.FailedOn.insert(End.FaultyWorker);
-  if (!Gang.Info.Idempotent && End.MayHaveRun) {
-    endJob(Gang, ResultCode::JobFailed,
-           "A task failed on " + End.FaultyWorker.str() +
-               "; a job that is not idempotent is not retried.");
+  if (const auto Reason = notRepeatable(Gang.Info.Idempotent, End)) {
+    endJob(Gang, Reason->Code, Reason->Detail);
     return;
   }
   if (Gang.FailedOn.size() >= MaxDistinctFailedWorkers ||
@@ -316,9 +314,8 @@
 }
 
 void Scheduler::Core::gangStopped(Job &Gang, const GangEnd &End, Instant Now) {
-  if (!Gang.Info.Idempotent && End.MayHaveRun && !End.Checkpointed) {
-    endJob(Gang, ResultCode::JobOutcomeUnknown,
-           "The job was stopped without a checkpoint after it had started.");
+  if (const auto Reason = notRepeatable(Gang.Info.Idempotent, End)) {
+    endJob(Gang, Reason->Code, Reason->Detail);
     return;
   }
   requeue(Gang, Now);
