End an adopted gang whose workers the scheduler does not know

Cause: a new coordinator stops waiting for workers once those that it has heard of have sent their inventories, here one of four. It adopts the running gangs then, and Scheduler::jobRunning() leaves out members on workers that it does not know. gangEnded() took a job without members for one without a gang and ignored the end, so that the job stayed in the phase Running.

Evidence: the entry's log has "Started scheduling for 1 workers in epoch 294"; the job had run on two others. It was neither started nor ended until the next epoch.

Change: gangEnded() looks at the phase of the job.

EndsAnAdoptedJobWhoseWorkersAreUnknown failed before: no command to end the job. What remains: until such a gang ends, its workers count as free once they are heard of; their agents refuse a second gang.

--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -245,7 +245,8 @@
 void Scheduler::Core::gangEnded(const JobId &Id, Attempt Number,
                                 const GangEnd &End, Instant Now) {
   Job *Gang = findAttempt(Id, Number);
-  if (!Gang || Gang->Members.empty())
+  // The members of an adopted gang are empty while its workers are unknown.
+  if (!Gang || Gang->Phase == JobPhase::Queued)
     return;
   if (End.Result == GangResult::Succeeded) {
     RunTimes.addSample(Gang->Info, End.Progress);
--- a/tests/scheduler/SchedulerTest.cpp
+++ b/tests/scheduler/SchedulerTest.cpp
@@ -241,6 +241,21 @@
   CHECK_TRUE(ResultCode::JobOutcomeUnknown == Ends[0].Code);
 }
 
+// Guards against jobs that never ended because a new coordinator adopted them
+// before it had heard of their workers.
+TEST(Scheduler, EndsAnAdoptedJobWhoseWorkersAreUnknown) {
+  JobInfo NotIdempotent = job("once", 1, 1);
+  NotIdempotent.Idempotent = false;
+  JobScheduler->jobRunning(NotIdempotent, Attempt(1), {{NodeId("w0"), 1}},
+                           false, Now);
+  JobScheduler->gangEnded(
+      NotIdempotent.Id, Attempt(1),
+      {GangResult::Lost, NodeId("w0"), Milliseconds(0), true, false}, Now);
+  const auto Ends = commandsOfType<EndJob>(JobScheduler->decide(Now));
+  LONGS_EQUAL(1, Ends.size());
+  CHECK_TRUE(ResultCode::JobOutcomeUnknown == Ends[0].Code);
+}
+
 TEST(Scheduler, CancelsAThousandQueuedJobs) {
   addWorkers(1);
   startRunning(job("busy", 1, 8));
