Overlap the faults of the chaos test

The chaos test injected one fault after another and waited for the end of each, never stopped a daemon gracefully, changed no configuration, and its callers opened a connection for each request.

Now each entry, each minion and each worker with its agent, the store and the configuration have an injector with a seed and a thread of its own, so that series of faults overlap. New faults: graceful replacement of entries and agents, SIGKILL during a graceful shutdown, series of SIGHUP, SIGUSR1 and repeated SIGTERM, and changes of the configuration. Callers keep a connection until its entry closes it.

All checks stay. Each process must now have the last accepted configuration instead of version 1, since it changes. New checks: a daemon ends after SIGTERM and not by SIGHUP or SIGUSR1, starts again, and each change of the configuration is accepted once.

--- a/tests/fault/ChaosTest.cpp
+++ b/tests/fault/ChaosTest.cpp
@@ -1,4 +1,5 @@
 #include "Callers.h"
+#include "FaultInjector.h"
 #include "JobDeployment.h"
 
 #include <cstdlib>
@@ -13,6 +14,7 @@
 
 constexpr int DefaultSeed = 1;
 constexpr int DefaultSeconds = 20;
+constexpr int DefaultScale = 1;
 
 /// Returns the number in an environment variable, or \p Default when it is not
 /// set.
@@ -21,78 +23,24 @@
   return Text ? std::atoi(Text) : Default;
 }
 
-/// Injects random faults into a deployment. The same seed selects the same
-/// sequence of faults.
-class FaultInjector {
-public:
-  FaultInjector(Deployment &Cluster, int Seed)
-      : Cluster(Cluster), Random(static_cast<unsigned>(Seed)) {}
-
-  /// Injects one fault and returns its name. Pauses and outages of the store
-  /// have ended on return.
-  std::string injectRandomFault() {
-    using FaultFunction = void (FaultInjector::*)();
-    static const std::vector<std::pair<const char *, FaultFunction>> Faults = {
-        {"kill entry", &FaultInjector::killEntry},
-        {"kill minion agent", &FaultInjector::killMinionAgent},
-        {"kill minion", &FaultInjector::killMinion},
-        {"kill worker agent", &FaultInjector::killWorkerAgent},
-        {"kill worker", &FaultInjector::killWorker},
-        {"pause entry", &FaultInjector::pauseEntry},
-        {"pause worker agent", &FaultInjector::pauseWorkerAgent},
-        {"store down", &FaultInjector::interruptStore},
-        {"store slow", &FaultInjector::slowStore},
-        {"store loses responses", &FaultInjector::loseStoreResponses},
-        {"connections closed", &FaultInjector::closeConnections},
-        {"connections silent", &FaultInjector::silenceConnections},
-    };
-    const auto &[Name, Inject] =
-        Faults[randomUpTo(static_cast<int>(Faults.size()) - 1)];
-    (this->*Inject)();
-    return Name;
-  }
-
-  /// Returns a random number in [0, \p Max].
-  int randomUpTo(int Max) {
-    return std::uniform_int_distribution<int>(0, Max)(Random);
-  }
-
-private:
-  void killEntry() { (void)Cluster.restartEntry(randomUpTo(1)); }
-  void killMinionAgent() { (void)Cluster.restartMinionAgent(randomUpTo(2)); }
-  void killMinion() { (void)Cluster.restartMinion(randomUpTo(2)); }
-  void killWorkerAgent() { (void)Cluster.restartWorkerAgent(randomUpTo(3)); }
-  void killWorker() { (void)Cluster.restartWorker(randomUpTo(3)); }
-  void pauseEntry() { pauseAndResume(Cluster.entry(randomUpTo(1))); }
-  void pauseWorkerAgent() {
-    pauseAndResume(Cluster.workerAgent(randomUpTo(3)));
-  }
-  void pauseAndResume(Process &Target) {
-    Target.pause();
-    sleepMs(500 + randomUpTo(6000));
-    Target.resume();
-  }
-  void interruptStore() {
-    (void)Cluster.controlStore("/down");
-    sleepMs(500 + randomUpTo(4000));
-    (void)Cluster.controlStore("/up");
-  }
-  void slowStore() {
-    (void)Cluster.controlStore("/slow?ms=200");
-    sleepMs(500 + randomUpTo(2000));
-    (void)Cluster.controlStore("/slow?ms=0");
-  }
-  void loseStoreResponses() { (void)Cluster.controlStore("/lose?count=5"); }
-  void closeConnections() {
-    (void)Cluster.controlMinionAgentProxy(randomUpTo(2), "/cut");
-  }
-  void silenceConnections() {
-    (void)Cluster.controlMinionAgentProxy(randomUpTo(2), "/silence");
-  }
+/// Returns a deployment of 20 processes, or that many times \p Scale.
+DeploymentOptions deploymentOptions(int Scale) {
+  DeploymentOptions Options;
+  Options.Entries = 2 * Scale;
+  Options.Minions = 3 * Scale;
+  Options.Workers = 4 * Scale;
+  Options.ProxyMinionAgents = true;
+  return Options;
+}
 
-  Deployment &Cluster;
-  std::mt19937 Random;
-};
+CallerOptions loadOptions(int Scale) {
+  CallerOptions Options;
+  Options.ThreadCount = 4 * Scale;
+  Options.RequestsPerThread = 1000000;
+  Options.Entries = 2 * Scale;
+  Options.KeepConnections = true;
+  return Options;
+}
 
 } // namespace
 
@@ -100,33 +48,33 @@
 
 TEST(Chaos, UpholdsAllInvariantsUnderRandomFaults) {
   const int Seed = environmentNumber("CHAOS_SEED", DefaultSeed);
-  DeploymentOptions Options;
-  Options.Minions = 3;
-  Options.Workers = 4;
-  Options.ProxyMinionAgents = true;
-  JobDeployment Jobs(Options);
+  const int Scale = environmentNumber("CHAOS_SCALE", DefaultScale);
+  JobDeployment Jobs(deploymentOptions(Scale));
   CHECK_TRUE(Jobs.Cluster.ready());
   CallerResults Results;
-  CallerOptions LoadOptions;
-  LoadOptions.ThreadCount = 4;
-  LoadOptions.RequestsPerThread = 1000000;
-  Callers Load(Jobs.Cluster, Results, LoadOptions);
-  FaultInjector Faults(Jobs.Cluster, Seed);
+  Callers Load(Jobs.Cluster, Results, loadOptions(Scale));
   const Instant EndTime =
       monotonicNow() +
       std::chrono::seconds(environmentNumber("CHAOS_SECONDS", DefaultSeconds));
-  std::string Schedule = "seed " + std::to_string(Seed) + ":";
+  FaultInjectors Faults(Jobs.Cluster, Jobs.Options,
+                        static_cast<unsigned>(Seed));
+  std::mt19937 Random(static_cast<unsigned>(Seed));
+  const auto RandomUpTo = [&](int Max) {
+    return std::uniform_int_distribution<int>(0, Max)(Random);
+  };
   std::map<std::string, bool> Ids;
   while (monotonicNow() < EndTime) {
-    const bool AtMostOnce = Faults.randomUpTo(3) == 0;
+    const bool AtMostOnce = RandomUpTo(3) == 0;
     const std::string Id =
-        Jobs.submit(Faults.randomUpTo(1), 1 + Faults.randomUpTo(2),
-                    500 + Faults.randomUpTo(3000), !AtMostOnce);
+        Jobs.submit(RandomUpTo(Jobs.Options.Entries - 1), 1 + RandomUpTo(2),
+                    500 + RandomUpTo(3000), !AtMostOnce);
     if (!Id.empty())
       Ids[Id] = AtMostOnce;
-    Schedule += " " + Faults.injectRandomFault() + ",";
-    sleepMs(Faults.randomUpTo(800));
+    sleepMs(RandomUpTo(1600));
   }
+  Faults.stop();
+  const std::string Schedule = Faults.schedule();
+  STRCMP_EQUAL_TEXT("", Faults.failures().c_str(), Schedule.c_str());
   // Every accepted job must end after the last fault.
   for (const auto &[Id, AtMostOnce] : Ids) {
     const bool Ended = Deployment::waitFor(
@@ -145,5 +93,8 @@
                     Schedule.c_str());
   STRCMP_EQUAL_TEXT("", Jobs.firstViolation().c_str(), Schedule.c_str());
   CHECK_TEXT(Results.count("answered") > 50, Schedule.c_str());
-  LONGS_EQUAL_TEXT(1, Jobs.Cluster.lowestVersion(), Schedule.c_str());
+  const std::uint64_t Version = Faults.configurationVersion();
+  (void)Deployment::waitFor(
+      [&] { return Jobs.Cluster.lowestVersion() >= Version; });
+  LONGS_EQUAL_TEXT(Version, Jobs.Cluster.lowestVersion(), Schedule.c_str());
 }
--- a/tests/support/Callers.cpp
+++ b/tests/support/Callers.cpp
@@ -21,14 +21,47 @@
   return Keys;
 }
 
+/// The connections of one caller, to each entry.
+class CallerConnections {
+public:
+  CallerConnections(Deployment &Cluster, const CallerOptions &Options)
+      : Cluster(Cluster), Keep(Options.KeepConnections),
+        Clients(Options.Entries) {}
+
+  std::size_t entries() const { return Clients.size(); }
+
+  CallResult send(std::size_t Entry, const std::string &Body,
+                  const std::string &Key) {
+    auto &Client = Clients[Entry];
+    if (!Client || !Keep)
+      Client = std::make_unique<HttpClient>(
+          Cluster.entryHttpAddress(static_cast<int>(Entry)));
+    CallResult Result =
+        Deployment::request(*Client, Body, false, Key, DeadlineMs);
+    // Without a response the process may be gone, and its replacement has
+    // another address.
+    if (Result.Status == 0)
+      Client.reset();
+    return Result;
+  }
+
+private:
+  Deployment &Cluster;
+  const bool Keep;
+  std::vector<std::unique_ptr<HttpClient>> Clients;
+};
+
 /// Sends a request to one entry after another until it is answered or its
 /// outcome can no longer be found out (PinExpired), at most MaxAttempts times.
-CallResult sendUntilKnown(Deployment &Cluster, int FirstEntry, int Entries,
-                          const std::string &Body, const std::string &Key) {
+CallResult sendUntilKnown(CallerConnections &Connections,
+                          std::size_t FirstEntry, const std::string &Body,
+                          const std::string &Key) {
   CallResult Result;
+  std::string Attempts;
   for (int Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
-    Result = Cluster.request((FirstEntry + Attempt) % Entries, Body, false, Key,
-                             DeadlineMs);
+    Result = Connections.send((FirstEntry + Attempt) % Connections.entries(),
+                              Body, Key);
+    Attempts += "\n  " + std::to_string(Result.Status) + " " + Result.Body;
     const bool Finished = Result.Outcome == "answered" ||
                           Result.Body.find("PinExpired") != std::string::npos;
     if (Finished)
@@ -37,17 +70,18 @@
   }
   if (Result.Outcome.empty())
     Result.Outcome = "unknown";
+  Result.Attempts = Attempts;
   return Result;
 }
 
 void runCaller(Deployment &Cluster, CallerResults &Results, int Caller,
                const CallerOptions &Options) {
+  CallerConnections Connections(Cluster, Options);
   for (int N = 0; N < Options.RequestsPerThread && !Results.Stop; ++N) {
     const std::string Key =
         "k" + std::to_string(Caller) + "-" + std::to_string(N);
     const std::string Body = Key + " " + Options.Work;
-    Results.record(Key, Body,
-                   sendUntilKnown(Cluster, Caller, Options.Entries, Body, Key));
+    Results.record(Key, Body, sendUntilKnown(Connections, Caller, Body, Key));
   }
 }
 
@@ -91,9 +125,9 @@
   const auto KeysRun = keysOfRuns(RunLines);
   for (const auto &[Key, Result] : Results.LastResults) {
     if (Result.Outcome == "not run" && KeysRun.count(Key) != 0)
-      return "reported as not run, but ran: " + Key;
+      return "reported as not run, but ran: " + Key + Result.Attempts;
     if (Result.Outcome == "answered" && KeysRun.count(Key) == 0)
-      return "answered, but did not run: " + Key;
+      return "answered, but did not run: " + Key + Result.Attempts;
   }
   return {};
 }
--- a/tests/support/Callers.h
+++ b/tests/support/Callers.h
@@ -43,6 +43,9 @@
   /// Part of the body that sets the work time of the minion in ms.
   std::string Work = "work=60";
   int Entries = 2;
+  /// Whether a caller uses a connection until its entry closes it, also while
+  /// the entry shuts down, instead of opening one for each request.
+  bool KeepConnections = false;
 };
 
 /// Threads that send non-idempotent requests with idempotency keys. A request
--- a/tests/support/Deployment.cpp
+++ b/tests/support/Deployment.cpp
@@ -43,6 +43,7 @@
 }
 
 std::string Deployment::entryAddressList() const {
+  const std::lock_guard<std::mutex> Lock(AddressMutex);
   std::string List;
   for (const std::string &Address : EntryRpcAddresses)
     List += (List.empty() ? "" : ", ") + Address;
@@ -81,15 +82,14 @@
     const std::lock_guard<std::mutex> Lock(AddressMutex);
     EntryHttpAddresses.resize(Options.Entries);
     EntryHttpAddresses[I] = Entries[I]->value("http");
+    if (EntryRpcAddresses.size() <= static_cast<std::size_t>(I))
+      EntryRpcAddresses.resize(I + 1);
+    EntryRpcAddresses[I] = Options.ProxyEntries
+                               ? EntryProxies[I]->value("listen")
+                               : Entries[I]->value("rpc");
   }
-  if (EntryRpcAddresses.size() <= static_cast<std::size_t>(I))
-    EntryRpcAddresses.resize(I + 1);
-  if (!Options.ProxyEntries) {
-    EntryRpcAddresses[I] = Entries[I]->value("rpc");
-    return true;
-  }
-  EntryRpcAddresses[I] = EntryProxies[I]->value("listen");
-  return sendControl(EntryProxies[I]->value("control"),
+  return !Options.ProxyEntries ||
+         sendControl(EntryProxies[I]->value("control"),
                      "/target?to=" + Entries[I]->value("rpc"));
 }
 
@@ -298,6 +298,12 @@
                                bool Idempotent, const std::string &Key,
                                int DeadlineMs, const std::string &Token) {
   HttpClient Client(entryHttpAddress(Entry));
+  return request(Client, Body, Idempotent, Key, DeadlineMs, Token);
+}
+
+CallResult Deployment::request(HttpClient &Client, const std::string &Body,
+                               bool Idempotent, const std::string &Key,
+                               int DeadlineMs, const std::string &Token) {
   HttpCall Call;
   Call.Path = std::string("/v1/services/") + Service + "/requests";
   Call.Body = Body;
--- a/tests/support/Deployment.h
+++ b/tests/support/Deployment.h
@@ -42,6 +42,8 @@
   std::string Body;
   /// "answered", "not run", "unknown", or empty when there was no response.
   std::string Outcome;
+  /// Responses to all attempts of a caller, for messages.
+  std::string Attempts;
 };
 
 /// A deployment of real daemons with stand-ins of the store, minions and
@@ -70,7 +72,9 @@
 
   /// Kills a process and starts it again under the same name. Returns whether
   /// it got ready. Entries and agents get new addresses; a minion or worker
-  /// that was still running keeps its address.
+  /// that was still running keeps its address. Different daemons may be
+  /// restarted from different threads, but an agent and its minion or worker
+  /// only from the same one.
   bool restartEntry(int I);
   bool restartMinionAgent(int I);
   bool restartWorkerAgent(int I);
@@ -89,7 +93,14 @@
   /// proxies.
   bool partitionRegions(bool Partitioned);
 
-  /// Sends a request through one entry.
+  /// Returns the current HTTP address of an entry. Thread-safe.
+  std::string entryHttpAddress(int I) const;
+  /// Sends a request over \p Client, which may keep its connection.
+  static CallResult request(HttpClient &Client, const std::string &Body,
+                            bool Idempotent, const std::string &Key,
+                            int DeadlineMs,
+                            const std::string &Token = CallerToken);
+  /// Sends a request through one entry, over a connection of its own.
   CallResult request(int Entry, const std::string &Body, bool Idempotent,
                      const std::string &Key = {}, int DeadlineMs = 5000,
                      const std::string &Token = CallerToken);
@@ -150,7 +161,6 @@
   std::string programPath(const std::string &Name) const;
   /// Returns the RPC addresses of the entries started so far, as a YAML list.
   std::string entryAddressList() const;
-  std::string entryHttpAddress(int I) const;
 
   const DeploymentOptions Options;
   std::string Folder;
@@ -165,9 +175,10 @@
   std::vector<std::unique_ptr<Process>> MinionAgentProxies;
   std::vector<std::unique_ptr<Process>> WorkerAgentProxies;
   std::vector<std::unique_ptr<Process>> EntryProxies;
-  std::vector<std::string> EntryRpcAddresses;
-  /// Guards EntryHttpAddresses, which callers read while entries restart.
+  /// Guards the addresses, which callers and starting agents read while entries
+  /// restart.
   mutable std::mutex AddressMutex;
+  std::vector<std::string> EntryRpcAddresses;
   std::vector<std::string> EntryHttpAddresses;
   bool Ready = false;
 };
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -54,8 +54,8 @@
         ::open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(Pipe[1], STDOUT_FILENO);
     ::dup2(Log, STDERR_FILENO);
-    ::close(Pipe[0]);
-    ::close(Pipe[1]);
+    // Connections of callers, and pipes of other threads that start processes.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(Arguments[0], Arguments.data());
     ::_exit(127);
   }
@@ -85,11 +85,21 @@
   Id = -1;
 }
 
-void Process::pause() const { ::kill(Id, SIGSTOP); }
-void Process::resume() const { ::kill(Id, SIGCONT); }
-void Process::terminate() const { ::kill(Id, SIGTERM); }
+void Process::pause() const { signal(SIGSTOP); }
+void Process::resume() const { signal(SIGCONT); }
+void Process::terminate() const { signal(SIGTERM); }
+void Process::reload() const { signal(SIGHUP); }
+void Process::logState() const { signal(SIGUSR1); }
+
+void Process::signal(int Number) const {
+  // The id -1 stands for all processes of the user.
+  if (running())
+    ::kill(Id, Number);
+}
 
 bool Process::waitForExit(double Seconds) {
+  if (!running())
+    return true;
   for (double Waited = 0; Waited < Seconds; Waited += 0.02) {
     if (::waitpid(Id, nullptr, WNOHANG) == Id) {
       Id = -1;
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -10,7 +10,7 @@
 namespace baobabcove::testing {
 
 /// A process of a test deployment. It is killed by the destructor, and also
-/// when the test process dies.
+/// when the thread that started it ends.
 class Process {
 public:
   Process() = default;
@@ -36,6 +36,10 @@
   void resume() const;
   /// Requests a graceful shutdown with SIGTERM.
   void terminate() const;
+  /// Asks a daemon with SIGHUP to read its settings again.
+  void reload() const;
+  /// Asks a daemon with SIGUSR1 to log its state.
+  void logState() const;
   /// Waits at most \p Seconds until the process has exited; returns whether it
   /// has.
   bool waitForExit(double Seconds);
@@ -43,6 +47,8 @@
   std::string id() const { return std::to_string(Id); }
 
 private:
+  void signal(int Number) const;
+
   pid_t Id = -1;
   std::map<std::string, std::string> Values;
 };
