--- a/tests/fault/ChaosTest.cpp
+++ b/tests/fault/ChaosTest.cpp
@@ -89,9 +89,9 @@
   }
   Results.Stop = true;
   Load.join();
+  STRCMP_EQUAL_TEXT("", Jobs.firstViolation().c_str(), Schedule.c_str());
   STRCMP_EQUAL_TEXT("", firstViolation(Results, Jobs.Cluster).c_str(),
                     Schedule.c_str());
-  STRCMP_EQUAL_TEXT("", Jobs.firstViolation().c_str(), Schedule.c_str());
   CHECK_TEXT(Results.count("answered") > 50, Schedule.c_str());
   const std::uint64_t Version = Faults.configurationVersion();
   (void)Deployment::waitFor(
