--- a/src/tasks/JobTracker.cpp
+++ b/src/tasks/JobTracker.cpp
@@ -22,10 +22,6 @@
 
 } // namespace
 
-NodeId nodeOf(const WorkerIncarnation &Incarnation) {
-  return NodeId(Incarnation.str().substr(0, Incarnation.str().find('/')));
-}
-
 void JobTracker::updatePlacedIndex() {
   if (!IsPlacedIndexStale)
     return;
@@ -51,6 +47,7 @@
   Dirty.clear();
   RetryNotBefore.clear();
   AcknowledgedEnds.clear();
+  DrainingWorkers.clear();
   UnflushedCheckpoints.clear();
   Reservations.clear();
 }
@@ -130,33 +127,12 @@
       expireLeases(NodeId(Report.node()), Now);
     return;
   }
-  adoptIncarnation(NodeId(Report.node()), Incarnation);
+  adoptIncarnation(Report, Now);
   applyRunning(Report, Incarnation, Now);
   applyEnds(Report, Incarnation, Now);
   applyRefusals(Report, Incarnation, Now);
 }
 
-void JobTracker::adoptIncarnation(const NodeId &Node,
-                                  const WorkerIncarnation &Incarnation) {
-  for (const TaskRef &At : placedOn(Node)) {
-    TaskState &Task = At.Job->task(At.Task);
-    if (Task.Phase != wire::TASK_PLACED || Task.Worker == Incarnation)
-      continue;
-    // The incarnation that held the run has ended. A start that is still in
-    // flight could reach the new incarnation, so the run is barred there
-    // first.
-    LOG4CPLUS_INFO(runLog(), LogFields("worker restarted")
-                                 .add("task", toText(At.Job->name(At.Task)))
-                                 .add("run", Task.Run)
-                                 .add("was", Task.Worker)
-                                 .add("now", Incarnation));
-    Task.Worker = Incarnation;
-    Task.Listed = false;
-    Task.StopRequested = true;
-    Dirty.insert(At.Job->id());
-  }
-}
-
 void JobTracker::applyRunning(const wire::TaskReport &Report,
                               const WorkerIncarnation &Incarnation,
                               const ClockReading &Now) {
@@ -171,8 +147,11 @@
     // After a takeover the start time of the run is unknown.
     if (Task->PlacedAt == BootInstant{})
       Task->PlacedAt = Now.Boot;
+    if (!Task->Listed)
+      Task->FirstListedAt = Now.Boot;
     Task->Listed = true;
     Task->LastListedAt = Now.Boot;
+    noteSurvival(At);
     if (!Run.checkpoint().empty())
       updateCheckpoint(At, Run.checkpoint());
   }
@@ -236,6 +215,8 @@
   if (!End.checkpoint().empty())
     updateCheckpoint(At, End.checkpoint());
   const wire::StepSpec &Step = At.Job->step(At.Task);
+  if (End.ending() == wire::RUN_DONE || End.ending() == wire::RUN_FAILED)
+    crashesOf(At).clearSuspicion();
   switch (End.ending()) {
   case wire::RUN_DONE:
     Quarantine.noteSuccess(Node);
@@ -318,6 +299,7 @@
     TaskState &Task = At.Job->task(Member);
     Task.Phase = wire::TASK_DONE;
     Task.StopRequested = false;
+    Task.Lost = false;
   }
   Dirty.insert(At.Job->id());
 }
@@ -334,7 +316,9 @@
   Task.Phase = wire::TASK_WAITING;
   Task.Listed = false;
   Task.StopRequested = false;
+  Task.Lost = false;
   Task.Percent = 0;
+  Task.WaitingSince = Now.Boot;
   // The other members of a gang cannot continue without this one.
   stopMembers(At);
   if (Delay.count() > 0)
@@ -346,22 +330,26 @@
   TaskJob &Job = *At.Job;
   const bool LongRunning = Job.step(At.Task).long_running();
   // Failures of a gang are counted at its first member.
-  TaskState &FailureCounter = Job.task(gangMembers(At).front());
+  TaskState &FailureCounter = Job.task(Job.firstOfUnit(At.Task));
   ++FailureCounter.Failures;
   requeue(At, Now, Milliseconds(0));
   if (LongRunning || FailureCounter.Failures < Job.spec().max_attempts() ||
       Job.isOver())
     return;
-  Job.Failed = true;
-  for (std::size_t Other = 0; Other < Job.size(); ++Other)
-    if (Job.task(Other).Phase == wire::TASK_PLACED)
-      Job.task(Other).StopRequested = true;
+  fail(Job);
   LOG4CPLUS_INFO(logOf("jobs"), LogFields("job failed")
                                     .add("job", Job.id())
                                     .add("task", toText(Job.name(At.Task)))
                                     .add("failures", FailureCounter.Failures));
 }
 
+void JobTracker::fail(TaskJob &Job) {
+  Job.Failed = true;
+  for (std::size_t At = 0; At < Job.size(); ++At)
+    if (Job.task(At).Phase == wire::TASK_PLACED)
+      Job.task(At).StopRequested = true;
+}
+
 void JobTracker::updateCheckpoint(TaskRef At, const std::string &Checkpoint) {
   for (std::size_t Member : gangMembers(At)) {
     TaskState &Task = At.Job->task(Member);
--- a/src/tasks/JobTracker.h
+++ b/src/tasks/JobTracker.h
@@ -35,9 +35,6 @@
   double RemainingWork = 0;
 };
 
-/// Returns the node of a worker incarnation, which is "NODE/ID#STARTED_MS".
-NodeId nodeOf(const WorkerIncarnation &Incarnation);
-
 /// Holds all jobs of the cell with the state of their tasks, and applies
 /// reports, cancellations and plans to them. Performs no I/O. Not thread-safe.
 class JobTracker {
@@ -118,8 +115,20 @@
   void applyRefusals(const wire::TaskReport &Report,
                      const WorkerIncarnation &Incarnation,
                      const ClockReading &Now);
-  void adoptIncarnation(const NodeId &Node,
-                        const WorkerIncarnation &Incarnation);
+  void adoptIncarnation(const wire::TaskReport &Report,
+                        const ClockReading &Now);
+  /// Attributes the crash of an incarnation with \p Runs on it, and gives up
+  /// units that crash their workers beyond doubt.
+  void recordCrash(const WorkerIncarnation &Incarnation, const TaskRefs &Runs,
+                   const wire::TaskReport &Report, const ClockReading &Now);
+  /// Gives up the job of \p Unit, whose crashes prove it deadly.
+  static void giveUp(TaskRef Unit, const ClockReading &Now);
+  /// Returns the history of the unit of \p At.
+  CrashHistory &crashesOf(TaskRef At) const;
+  /// Ends the suspicion against a unit that has run for a while.
+  void noteSurvival(TaskRef At);
+  /// Adds the constraints of a unit under suspicion.
+  void isolate(PlanUnit &Unit, TaskJob &Job, const ClockReading &Now) const;
   void applyEnd(const wire::RunEnd &End, TaskRef At, const ClockReading &Now);
   /// Marks a task as done although the reported run is not its newest. Once the
   /// end is acknowledged the task must not be started again.
@@ -128,6 +137,8 @@
   void completeTasks(TaskRef At);
   void requeue(TaskRef At, const ClockReading &Now, Milliseconds Delay);
   void recordFailure(TaskRef At, const ClockReading &Now);
+  /// Marks a job as failed and stops its runs.
+  static void fail(TaskJob &Job);
   void updateCheckpoint(TaskRef At, const std::string &Checkpoint);
   /// Returns all tasks of the gang of \p At, or only \p At if it is not part of
   /// a gang.
@@ -164,6 +175,8 @@
   std::map<std::string, BootInstant> RetryNotBefore;
   /// Number of the last end applied, by worker incarnation.
   std::map<WorkerIncarnation, std::uint64_t> AcknowledgedEnds;
+  /// The latest incarnation that reported that it is draining, by node.
+  std::map<NodeId, WorkerIncarnation> DrainingWorkers;
   double completedMs(const TaskJob &Job, std::size_t At) const;
 
   /// Workers reserved by the last plan, by the unit's first task.
--- /dev/null
+++ b/src/tasks/JobTrackerCrashes.cpp
@@ -0,0 +1,210 @@
+/// \file
+/// The part of JobTracker that handles the ends of worker incarnations.
+
+#include "base/Log.h"
+#include "base/LogFields.h"
+#include "tasks/JobTracker.h"
+
+#include <algorithm>
+
+namespace baobabcove {
+
+namespace {
+
+/// A unit under suspicion waits for a worker of its own for this long.
+constexpr Milliseconds MaxIsolationWait{1500};
+
+log4cplus::Logger runLog() { return logOf("run"); }
+
+std::string joined(const std::vector<NodeId> &Nodes) {
+  std::string Text;
+  for (const NodeId &Node : Nodes)
+    Text += (Text.empty() ? "" : ",") + Node.str();
+  return Text;
+}
+
+std::string outcomeName(const CrashAttribution &Attribution) {
+  if (Attribution.Units.empty())
+    return "unexplained";
+  switch (Attribution.Certainty) {
+  case Blame::Certain:
+    return "certain";
+  case Blame::Alone:
+    return "alone";
+  case Blame::Shared:
+    break;
+  }
+  return "shared";
+}
+
+/// The runs that an ended incarnation had or may have started, as far as its
+/// agent knows.
+class LostRuns {
+public:
+  LostRuns(const WorkerIncarnation &Incarnation, const wire::TaskReport &Report)
+      : Known(Report.lost_worker() == Incarnation.str()) {
+    for (const wire::RunKey &Run : Report.lost_runs())
+      Runs.insert({Run.task(), Run.run()});
+  }
+
+  bool areKnown() const { return Known; }
+  bool contain(const std::string &Task, std::uint64_t Run) const {
+    return Known && Runs.count({Task, Run}) > 0;
+  }
+
+private:
+  bool Known;
+  std::set<std::pair<std::string, std::uint64_t>> Runs;
+};
+
+} // namespace
+
+void JobTracker::adoptIncarnation(const wire::TaskReport &Report,
+                                  const ClockReading &Now) {
+  const NodeId Node(Report.node());
+  const WorkerIncarnation Incarnation(Report.worker());
+  std::map<WorkerIncarnation, TaskRefs> Ended;
+  for (const TaskRef &At : placedOn(Node)) {
+    const TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase == wire::TASK_PLACED && Task.Worker != Incarnation)
+      Ended[Task.Worker].push_back(At);
+  }
+  for (const auto &[Earlier, Runs] : Ended) {
+    const bool HasLeft =
+        Earlier.str() == Report.left_worker() ||
+        (DrainingWorkers.count(Node) && DrainingWorkers[Node] == Earlier);
+    if (!isDeparted(Earlier) && !HasLeft)
+      recordCrash(Earlier, Runs, Report, Now);
+    for (const TaskRef &At : Runs) {
+      TaskState &Task = At.Job->task(At.Task);
+      // The incarnation that held the run has ended. A start that is still in
+      // flight could reach the new incarnation, so the run is barred there
+      // first.
+      LOG4CPLUS_INFO(runLog(), LogFields("worker restarted")
+                                   .add("task", toText(At.Job->name(At.Task)))
+                                   .add("run", Task.Run)
+                                   .add("was", Task.Worker)
+                                   .add("now", Incarnation));
+      Task.Worker = Incarnation;
+      Task.Listed = false;
+      Task.StopRequested = true;
+      Task.Lost = true;
+      Dirty.insert(At.Job->id());
+    }
+  }
+  if (Report.draining() && !isDeparted(Incarnation))
+    DrainingWorkers[Node] = Incarnation;
+}
+
+void JobTracker::recordCrash(const WorkerIncarnation &Incarnation,
+                             const TaskRefs &Runs,
+                             const wire::TaskReport &Report,
+                             const ClockReading &Now) {
+  const LostRuns Lost(Incarnation, Report);
+  TaskRefs Units;
+  std::vector<CrashCandidate> Candidates;
+  for (const TaskRef &At : Runs) {
+    const TaskState &Task = At.Job->task(At.Task);
+    const bool HasStarted =
+        Task.Listed || Lost.contain(toText(At.Job->name(At.Task)), Task.Run);
+    // An earlier agent may have sent starts that this one does not know.
+    const bool MayHaveStarted = HasStarted || !Lost.areKnown() ||
+                                (!Report.lost_runs_complete() &&
+                                 Task.OrderedByAgent != Report.agent_life());
+    if (Task.Lost || !MayHaveStarted)
+      continue;
+    const std::size_t First = At.Job->firstOfUnit(At.Task);
+    const auto Known =
+        std::find_if(Units.begin(), Units.end(), [&](const TaskRef &Unit) {
+          return Unit.Job == At.Job && Unit.Task == First;
+        });
+    if (Known == Units.end()) {
+      Candidates.push_back({Units.size(), Task.seenAlive(), HasStarted});
+      Units.push_back({At.Job, First});
+      continue;
+    }
+    CrashCandidate &Unit =
+        Candidates[static_cast<std::size_t>(Known - Units.begin())];
+    Unit.SeenAlive = std::min(Unit.SeenAlive, Task.seenAlive());
+    Unit.HasStarted = Unit.HasStarted || HasStarted;
+  }
+  const CrashAttribution Attribution = attributeCrash(Candidates);
+  const std::string Outcome = outcomeName(Attribution);
+  LOG4CPLUS_WARN(logOf("worker"), LogFields("worker crashed")
+                                      .add("worker", Incarnation)
+                                      .add("runs", Runs.size())
+                                      .add("candidates", Units.size())
+                                      .add("blamed", Attribution.Units.size())
+                                      .add("outcome", Outcome));
+  for (std::size_t Index : Attribution.Units) {
+    const TaskRef Unit = Units[Index];
+    CrashHistory &Crashes = crashesOf(Unit);
+    const std::uint64_t Run = Unit.Job->task(Unit.Task).Run;
+    if (!Crashes.record(Attribution.Certainty, nodeOf(Incarnation), Run))
+      continue;
+    Dirty.insert(Unit.Job->id());
+    LOG4CPLUS_WARN(runLog(), LogFields("task under suspicion")
+                                 .add("task", toText(Unit.Job->name(Unit.Task)))
+                                 .add("run", Run)
+                                 .add("worker", Incarnation)
+                                 .add("outcome", Outcome)
+                                 .add("crashes", Crashes.crashes()));
+    if (Crashes.provesUnitDeadly() && !Unit.Job->isOver())
+      giveUp(Unit, Now);
+  }
+}
+
+void JobTracker::giveUp(TaskRef Unit, const ClockReading &Now) {
+  TaskJob &Job = *Unit.Job;
+  const CrashHistory &Crashes = Job.task(Unit.Task).Crashes;
+  fail(Job);
+  LOG4CPLUS_WARN(logOf("jobs"),
+                 LogFields("job given up")
+                     .add("job", Job.id())
+                     .add("task", toText(Job.name(Unit.Task)))
+                     .add("crashes", Crashes.crashes())
+                     .add("nodes", joined(Crashes.nodes()))
+                     .add("after_ms", Now.UnixMs - Job.spec().accepted_ms()));
+}
+
+CrashHistory &JobTracker::crashesOf(TaskRef At) const {
+  return At.Job->task(At.Job->firstOfUnit(At.Task)).Crashes;
+}
+
+void JobTracker::noteSurvival(TaskRef At) {
+  CrashHistory &Crashes = crashesOf(At);
+  if (Crashes.empty())
+    return;
+  Milliseconds SeenAlive = Milliseconds::max();
+  for (std::size_t Member : gangMembers(At))
+    if (const TaskState &Task = At.Job->task(Member);
+        Task.Phase == wire::TASK_PLACED)
+      SeenAlive = std::min(SeenAlive, Task.seenAlive());
+  const bool IsProven = SeenAlive >= ProvenAfter;
+  if (!IsProven && (!Crashes.isSuspect() || SeenAlive < Probation))
+    return;
+  Crashes.clearSuspicion();
+  if (IsProven)
+    Crashes = CrashHistory();
+  Dirty.insert(At.Job->id());
+  LOG4CPLUS_INFO(runLog(), LogFields("task no longer under suspicion")
+                               .add("task", toText(At.Job->name(At.Task)))
+                               .add("run", At.Job->task(At.Task).Run)
+                               .add("alive_ms", SeenAlive.count())
+                               .add("crashes", Crashes.crashes()));
+}
+
+void JobTracker::isolate(PlanUnit &Unit, TaskJob &Job,
+                         const ClockReading &Now) const {
+  const CrashHistory &Crashes = crashesOf({&Job, Unit.Tasks.front()});
+  if (!Crashes.isSuspect())
+    return;
+  BootInstant WaitingSince{};
+  for (std::size_t Task : Unit.Tasks)
+    WaitingSince = std::max(WaitingSince, Job.task(Task).WaitingSince);
+  Unit.Isolated = true;
+  Unit.MayShareWorker = Now.Boot - WaitingSince >= MaxIsolationWait;
+  Unit.CrashNodes = Crashes.nodes();
+}
+
+} // namespace baobabcove
--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/JobTrackerPlanning.cpp
@@ -118,6 +118,9 @@
       const Resources Usage = resourcesOf(Job.step(At));
       PlanWorker &Worker = Input.Workers[WorkerIndex->second];
       Worker.Free -= Usage;
+      ++Worker.Runs;
+      Worker.HasRunOnProbation |= Task.seenAlive() < Probation;
+      Worker.HasSuspect |= crashesOf({&Job, At}).isSuspect();
       ++Input.OnWorker[{stepKey(Job.name(At)), WorkerIndex->second}];
       if (Task.StopRequested)
         Worker.Releasing += Usage;
@@ -288,13 +291,16 @@
         if (MayStart(At))
           Unit.Tasks.push_back(At);
       if (Job.spec().steps(S).gang()) {
-        if (Unit.Tasks.size() == Count)
+        if (Unit.Tasks.size() == Count) {
+          isolate(Unit, Job, Now);
           Input.Units.push_back(std::move(Unit));
+        }
         continue;
       }
       for (std::size_t At : Unit.Tasks) {
         PlanUnit Single = Unit;
         Single.Tasks = {At};
+        isolate(Single, Job, Now);
         Input.Units.push_back(std::move(Single));
       }
     }
@@ -332,6 +338,7 @@
     Task.OrderedByAgent = Input.Workers[Start.Worker].AgentIncarnation;
     Task.Listed = false;
     Task.StopRequested = false;
+    Task.Lost = false;
     Job.Begun = true;
     Dirty.insert(Start.Job);
     LOG4CPLUS_INFO(
--- /dev/null
+++ b/src/tasks/Resources.cpp
@@ -0,0 +1,32 @@
+#include "tasks/Resources.h"
+
+namespace baobabcove {
+
+Resources &Resources::operator+=(const Resources &Other) {
+  MilliCores += Other.MilliCores;
+  MemoryMb += Other.MemoryMb;
+  Accelerators += Other.Accelerators;
+  return *this;
+}
+
+Resources &Resources::operator-=(const Resources &Other) {
+  MilliCores -= Other.MilliCores;
+  MemoryMb -= Other.MemoryMb;
+  Accelerators -= Other.Accelerators;
+  return *this;
+}
+
+bool Resources::covers(const Resources &Need) const {
+  const auto Holds = [](std::int64_t Free, std::int64_t Wanted) {
+    return Wanted <= 0 || Free >= Wanted;
+  };
+  return Holds(MilliCores, Need.MilliCores) && Holds(MemoryMb, Need.MemoryMb) &&
+         Holds(Accelerators, Need.Accelerators);
+}
+
+Resources resourcesOf(const wire::StepSpec &Step) {
+  return {Step.fills() ? 0 : Step.milli_cores(), Step.memory_mb(),
+          Step.accelerators()};
+}
+
+} // namespace baobabcove
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -30,12 +30,6 @@
 /// Capacity of the order queue; a worker has a few dozen tasks at most.
 constexpr std::size_t MaxQueuedOrders = 1024;
 
-std::string incarnationName(const NodeId &Node,
-                            const WorkerHeartbeat &Heartbeat) {
-  return Node.str() + "/" + Heartbeat.Id + "#" +
-         std::to_string(Heartbeat.StartedAtMs);
-}
-
 } // namespace
 
 TaskAgent::TaskAgent(AgentSettings Settings, TransactionalStore &Kv,
@@ -75,8 +69,11 @@
     return;
   const bool StartsDraining =
       Heartbeat.Draining && !(Worker && Worker->Draining);
-  const std::string Name = incarnationName(Settings.Node, Heartbeat);
+  const WorkerIncarnation Name =
+      incarnationOf(Settings.Node, Heartbeat.Id, Heartbeat.StartedAtMs);
   const bool NewIncarnation = Name != WorkerName;
+  if (NewIncarnation && Worker)
+    noteEnd(false);
   Worker = Heartbeat;
   if (NewIncarnation) {
     LOG4CPLUS_INFO(logOf("worker"),
@@ -87,6 +84,7 @@
                        .add("rack", Heartbeat.Rack)
                        .add("accelerators", Heartbeat.Accelerators));
     resetWorkerState();
+    IsSoleAgent = !WorkerName.str().empty();
     WorkerName = Name;
     Link = std::shared_ptr<WorkerLink>(Links(Heartbeat));
   }
@@ -108,17 +106,31 @@
     return;
   LOG4CPLUS_INFO(logOf("worker"),
                  LogFields("worker left").add("worker", WorkerName));
-  departWorker();
+  departWorker(true);
 }
 
-void TaskAgent::departWorker() {
+void TaskAgent::noteEnd(bool Announced) {
+  if (isDeparted(WorkerName))
+    return;
+  if (Announced || Worker->Draining)
+    LeftWorker = WorkerName;
+  LostWorker = Listed || IsSoleAgent ? WorkerName : WorkerIncarnation();
+  AreLostRunsComplete = IsSoleAgent;
+  LostRuns = StartsSent;
+  for (const wire::RunStatus &Run : Running)
+    LostRuns.insert({Run.task(), Run.run()});
+  for (const wire::RunEnd &End : Ends)
+    LostRuns.erase({End.task(), End.run()});
+}
+
+void TaskAgent::departWorker(bool Announced) {
+  noteEnd(Announced);
   resetWorkerState();
   Link.reset();
   // The departed worker is reported as an incarnation without runs, so that the
   // coordinator treats the runs of the last incarnation as ended.
   Worker->Draining = true;
-  WorkerName =
-      Settings.Node.str() + "/none#" + std::to_string(++DepartedWorkers);
+  WorkerName = departedIncarnation(Settings.Node, ++DepartedWorkers);
   Listed = true;
   ListedAt = BootInstant::max();
   ReportPending = true;
@@ -129,6 +141,7 @@
   Running.clear();
   Ends.clear();
   RunOrders.clear();
+  StartsSent.clear();
   Orders.Clear();
   Listed = false;
   Liveness = WorkerLiveness();
@@ -232,7 +245,15 @@
   Report.set_sequence(++Sequence);
   Report.set_wait_ms(static_cast<std::uint32_t>(Wait.count()));
   Report.set_orders_seen(Orders.revision());
-  Report.set_worker(WorkerName);
+  Report.set_worker(WorkerName.str());
+  Report.set_left_worker(LeftWorker.str());
+  Report.set_lost_worker(LostWorker.str());
+  Report.set_lost_runs_complete(AreLostRunsComplete);
+  for (const auto &[Task, Run] : LostRuns) {
+    wire::RunKey &Key = *Report.add_lost_runs();
+    Key.set_task(Task);
+    Key.set_run(Run);
+  }
   Report.set_complete(Listed && (ListedAt == BootInstant::max() ||
                                  Now - ListedAt < ListingTimeout));
   Report.set_lapsed(!Report.complete() && LeaseUntil != BootInstant{} &&
@@ -272,7 +293,7 @@
   // Leases that earlier agents of this worker gave end within one grant.
   if (LeaseUntil == BootInstant{})
     LeaseUntil = GrantedUntil;
-  if (NewOrders.worker() != WorkerName || WorkerName.empty() ||
+  if (NewOrders.worker() != WorkerName.str() || WorkerName.str().empty() ||
       NewOrders.revision() <= Orders.revision())
     return;
   Orders = NewOrders;
@@ -381,7 +402,7 @@
     LOG4CPLUS_WARN(logOf("worker"), LogFields("worker process has ended")
                                         .add("worker", WorkerName)
                                         .add("running", Running.size()));
-    departWorker();
+    departWorker(false);
   }
 }
 
@@ -437,7 +458,7 @@
 std::string TaskAgent::dump() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   auto Dump = makeDump();
-  Dump->set("worker", WorkerName);
+  Dump->set("worker", WorkerName.str());
   Dump->set("coordinator", Coordinator);
   Dump->set("epoch", Term.value());
   Dump->set("running", Running.size());
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -6,6 +6,7 @@
 #include "rpc/Rpc.h"
 #include "store/TransactionalStore.h"
 #include "tasks/RunOrderTracker.h"
+#include "tasks/WorkerIncarnation.h"
 #include "tasks/WorkerLink.h"
 #include "tasks/WorkerLiveness.h"
 
@@ -15,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -63,7 +65,7 @@
   /// The parameters of one call to the worker.
   struct WorkerCall {
     std::shared_ptr<WorkerLink> Link;
-    std::string Incarnation;
+    WorkerIncarnation Incarnation;
     Epoch Term;
     /// The lease to request, on the worker's clock; zero for none.
     Milliseconds Deadline{0};
@@ -82,7 +84,10 @@
   void queueOrders();
   bool listRuns(Milliseconds Wait);
   void noteListingFailure(const WorkerCall &Request, const Error &Failure);
-  void departWorker();
+  /// Reports the worker as gone; \p Announced says whether it said so.
+  void departWorker(bool Announced);
+  /// Records how the current worker incarnation has ended.
+  void noteEnd(bool Announced);
   void applyListing(const WorkerCall &Request, const WorkerRuns &Listing,
                     BootInstant RequestedAt, BootInstant Now);
   bool hasWorkerClock() const;
@@ -115,8 +120,20 @@
 
   std::optional<WorkerHeartbeat> Worker;
   std::shared_ptr<WorkerLink> Link;
-  /// Identifies the worker incarnation; empty before the first heartbeat.
-  std::string WorkerName;
+  /// The worker incarnation; empty before the first heartbeat.
+  WorkerIncarnation WorkerName;
+  /// The latest incarnation that drained or announced its end before it ended.
+  WorkerIncarnation LeftWorker;
+  /// Whether the current incarnation started after this agent, so that no
+  /// earlier agent can have sent starts to it.
+  bool IsSoleAgent = false;
+  /// The latest incarnation that ended, with the runs that it had or may have
+  /// started, and whether it can have had no others.
+  WorkerIncarnation LostWorker;
+  std::set<RunId> LostRuns;
+  bool AreLostRunsComplete = false;
+  /// Runs whose starts were sent to the current incarnation and not refused.
+  std::set<RunId> StartsSent;
   std::uint64_t DepartedWorkers = 0;
   bool Listed = false;
   BootInstant ListedAt{};
--- a/src/tasks/TaskAgentOrders.cpp
+++ b/src/tasks/TaskAgentOrders.cpp
@@ -52,6 +52,7 @@
   const RunId Run(Order.Task, Order.Run);
   WorkerStart Start;
   bool MayHaveBeenSent = true;
+  bool MaySend = false;
   WorkerCall Request;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -71,14 +72,18 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Request = prepareCall();
+    MaySend = Request.Deadline.count() > 0 && !Liveness.refuses();
+    if (Request.Link && MaySend)
+      StartsSent.insert(Run);
   }
   if (!Request.Link)
     return;
-  // Without a lease to grant, the start is not sent. An earlier incarnation of
-  // this agent may have sent it, which a stop resolves.
+  // Without a lease to grant, or a process that listens, the start is not sent.
+  // An earlier incarnation of this agent may have sent it, which a stop
+  // resolves.
   OrderAnswer Answer{CallOutcome::Unknown, wire::REFUSAL_REASON_UNSPECIFIED,
-                     "no lease to grant; start not sent"};
-  if (Request.Deadline.count() > 0)
+                     "no lease to grant or worker not listening; not sent"};
+  if (MaySend)
     Answer = Request.Link->start(Start, Request.Deadline, Request.Term);
   LOG4CPLUS_INFO(logOf("run"), LogFields("start sent")
                                    .add("task", Order.Task)
@@ -95,6 +100,7 @@
   const bool IsListed = isRunning(Run);
   if (Answer.Outcome == CallOutcome::Refused && !MayHaveBeenSent) {
     RunOrders.markRefused(Run, Answer.Reason);
+    StartsSent.erase(Run);
   } else if (Answer.Outcome == CallOutcome::Done || IsListed) {
     RunOrders.markStarted(Run);
     if (!IsListed) {
--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -24,6 +24,10 @@
   return TaskName{JobId(Parts[0]), Numbers[0], Numbers[1], Numbers[2]};
 }
 
+Milliseconds TaskState::seenAlive() const {
+  return Listed ? LastListedAt - FirstListedAt : Milliseconds(0);
+}
+
 TaskJob::TaskJob(std::shared_ptr<const wire::TaskJobSpec> JobSpec)
     : Spec(std::move(JobSpec)),
       Occurrences(std::max<std::uint32_t>(1, Spec->repeat_count())) {
@@ -46,6 +50,9 @@
     Task.Worker = WorkerIncarnation(Record.worker());
     Task.Failures = Record.failures();
     Task.Checkpoint = Record.checkpoint();
+    Task.Crashes = CrashHistory::fromRecord(Record.crashes());
+    Task.Lost = Record.lost();
+    Task.StopRequested = Task.Lost;
   }
   Failed = Stored.failed();
   Completed = Stored.completed();
@@ -68,9 +75,12 @@
     Record.set_run(Task.Run);
     if (Task.Phase == wire::TASK_PLACED)
       Record.set_worker(Task.Worker.str());
+    Record.set_lost(Task.Lost);
     Record.set_failures(Task.Failures);
     if (Task.Phase != wire::TASK_DONE)
       Record.set_checkpoint(Task.Checkpoint);
+    if (!Task.Crashes.empty())
+      *Record.mutable_crashes() = Task.Crashes.toRecord();
   }
   Stored.set_failed(Failed);
   Stored.set_completed(Completed);
@@ -100,6 +110,13 @@
       static_cast<std::uint32_t>(At % TasksPerOccurrence - StepOffsets[Step])};
 }
 
+std::size_t TaskJob::firstOfUnit(std::size_t At) const {
+  if (!step(At).gang())
+    return At;
+  const TaskName Name = name(At);
+  return first(Name.Occurrence, Name.Step);
+}
+
 const wire::StepSpec &TaskJob::step(std::size_t At) const {
   return Spec->steps(static_cast<int>(stepNumber(At)));
 }
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -4,6 +4,8 @@
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
 #include "tasks.pb.h"
+#include "tasks/CrashAttribution.h"
+#include "tasks/WorkerIncarnation.h"
 
 #include <cstdint>
 #include <memory>
@@ -13,9 +15,6 @@
 
 namespace baobabcove {
 
-/// Identifies a worker incarnation by its node, its id and its start time.
-using WorkerIncarnation = StrongString<struct WorkerIncarnationTag>;
-
 /// Identifies one task of one occurrence of a job.
 struct TaskName {
   JobId Job;
@@ -36,8 +35,13 @@
   wire::TaskPhase Phase = wire::TASK_WAITING;
   std::uint64_t Run = 0;
   WorkerIncarnation Worker;
+  /// Whether the incarnation that held the run has ended; the run is being
+  /// barred on Worker, which never had it.
+  bool Lost = false;
   std::uint32_t Failures = 0;
   std::string Checkpoint;
+  /// Crashes of workers under the unit; of a gang, at its first member.
+  CrashHistory Crashes;
 
   // Not stored.
   /// Whether the worker has listed the run.
@@ -47,9 +51,16 @@
   /// that an earlier coordinator ordered.
   std::uint64_t OrderedByAgent = 0;
   BootInstant PlacedAt{};
+  /// When the worker first and last listed the run.
+  BootInstant FirstListedAt{};
   BootInstant LastListedAt{};
   std::uint32_t Percent = 0;
   BootInstant PercentChangedAt{};
+  /// When the last run was gone; zero before the first.
+  BootInstant WaitingSince{};
+
+  /// Returns how long the run was seen alive; zero if it was never listed.
+  Milliseconds seenAlive() const;
 };
 
 enum class JobStatus { Pending, Running, Completed, Failed, Cancelled };
@@ -92,6 +103,10 @@
   /// Returns the index of the first task of a step in one occurrence.
   std::size_t first(std::uint32_t Occurrence, std::uint32_t Step) const;
 
+  /// Returns the first task of the gang of a task, or the task itself if it is
+  /// not part of a gang.
+  std::size_t firstOfUnit(std::size_t At) const;
+
   bool isStepDone(std::uint32_t Occurrence, std::uint32_t Step) const;
   /// Whether the tasks of the step may start at \p NowUnixMs.
   bool isStepReady(std::uint32_t Occurrence, std::uint32_t Step,
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -54,6 +54,8 @@
         start(Unit, *Placement);
       else if (Unit.Guaranteed)
         reserveOrPreempt(Unit);
+      else if (Unit.Isolated)
+        keepClear(Unit);
       else
         FullSteps.insert(Unit.StepKey);
     }
@@ -90,6 +92,47 @@
                 Worker.Labels.end());
   }
 
+  /// Whether \p Unit may start beside the runs on a worker.
+  bool mayJoin(const PlanWorker &Worker, const PlanUnit &Unit) const {
+    if (!Unit.Isolated)
+      return !Worker.HasSuspect;
+    return Worker.Runs == 0 || (Unit.MayShareWorker && !Worker.HasSuspect &&
+                                !Worker.HasRunOnProbation);
+  }
+
+  static bool hasCrashedOn(const PlanUnit &Unit, const PlanWorker &Worker) {
+    return std::find(Unit.CrashNodes.begin(), Unit.CrashNodes.end(),
+                     nodeOf(Worker.Incarnation)) != Unit.CrashNodes.end();
+  }
+
+  /// Whether \p Unit fits on workers without its earlier crashes while they run
+  /// nothing else.
+  bool canAvoidCrashes(const PlanUnit &Unit) const {
+    if (Unit.CrashNodes.empty())
+      return false;
+    std::size_t Places = 0;
+    for (const PlanWorker &Worker : In.Workers) {
+      if (!isEligible(Worker, Unit) || hasCrashedOn(Unit, Worker))
+        continue;
+      const Resources Need = resourcesOf(*Unit.Step);
+      Resources Left = Worker.Capacity;
+      for (std::size_t T = 0; T < Unit.Tasks.size() && Left.covers(Need); ++T) {
+        Left -= Need;
+        ++Places;
+      }
+    }
+    return Places >= Unit.Tasks.size();
+  }
+
+  /// Selects the workers that pass \p Filter and on whose nodes no worker has
+  /// crashed under \p Unit.
+  WorkerFilter awayFromCrashes(const PlanUnit &Unit,
+                               const WorkerFilter &Filter) const {
+    return [this, &Unit, Filter](std::size_t W) {
+      return Filter(W) && !hasCrashedOn(Unit, In.Workers[W]);
+    };
+  }
+
   std::uint32_t countOn(const PlanUnit &Unit, std::size_t Worker) const {
     const auto Found = In.OnWorker.find({Unit.StepKey, Worker});
     return Found == In.OnWorker.end() ? 0 : Found->second;
@@ -110,6 +153,12 @@
            Share(Available.MilliCores - Need.MilliCores, Capacity.MilliCores);
   }
 
+  /// An isolated unit takes the worker with the fewest other runs.
+  double sharingScore(std::size_t W) const {
+    constexpr double AboveAnyLeftover = 10;
+    return AboveAnyLeftover * In.Workers[W].Runs;
+  }
+
   /// Places all tasks of \p Unit on workers that pass \p Filter, best fit
   /// first, within the resources in \p Available. Returns nothing if they do
   /// not all fit.
@@ -128,14 +177,15 @@
       double BestScore = Infinity;
       for (std::size_t W = 0; W < In.Workers.size(); ++W) {
         if (!Filter(W) || !Available[W].covers(Need) ||
-            !isEligible(In.Workers[W], Unit))
+            !isEligible(In.Workers[W], Unit) || !mayJoin(In.Workers[W], Unit))
           continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
         if (KeepsSomeFree && isFullyFree(W, Available[W]) &&
             FullyFreeWorkers <= Unit.KeepFullyFree)
           continue;
-        const double Score = leftoverScore(W, Available[W], Need);
+        const double Score = leftoverScore(W, Available[W], Need) +
+                             (Unit.Isolated ? sharingScore(W) : 0);
         if (Score < BestScore) {
           Best = W;
           BestScore = Score;
@@ -210,10 +260,14 @@
   std::optional<Assignment> findPlacement(const PlanUnit &Unit,
                                           const ResourceList &Available,
                                           bool AllowRemote) const {
+    const bool AvoidsCrashes = canAvoidCrashes(Unit);
+    const auto Usable = [&](const WorkerFilter &Filter) {
+      return AvoidsCrashes ? awayFromCrashes(Unit, Filter) : Filter;
+    };
     std::optional<Assignment> Best;
     double BestScore = Infinity;
     for (const WorkerFilter &Group : localityGroups(Unit)) {
-      auto Placement = fitOn(Unit, Available, Group);
+      auto Placement = fitOn(Unit, Available, Usable(Group));
       const double Score = Placement
                                ? totalLeftoverScore(Unit, Available, *Placement)
                                : Infinity;
@@ -222,8 +276,8 @@
         BestScore = Score;
       }
     }
-    if (!Best && AllowRemote)
-      return fitOn(Unit, Available, &anyWorker);
+    if (!Best && (AllowRemote || Unit.MayShareWorker))
+      return fitOn(Unit, Available, Usable(&anyWorker));
     return Best;
   }
 
@@ -238,6 +292,38 @@
     for (std::size_t T = 0; T < Placement.size(); ++T)
       Out.Starts.push_back({Unit.Job, Unit.Tasks[T], Placement[T]});
     reserve(Unit, Placement);
+    for (std::size_t W : Placement) {
+      PlanWorker &Worker = In.Workers[W];
+      ++Worker.Runs;
+      Worker.HasRunOnProbation = true;
+      Worker.HasSuspect = Worker.HasSuspect || Unit.Isolated;
+    }
+  }
+
+  /// Keeps new runs away from workers on which an isolated unit fits, until the
+  /// runs there have survived their probation or ended. Otherwise short runs
+  /// could follow each other there without end.
+  void keepClear(const PlanUnit &Unit) {
+    if (!Unit.MayShareWorker)
+      return;
+    PlanUnit Sharing = Unit;
+    Sharing.Isolated = false;
+    auto Placement = fitOn(Sharing, Free, reservedFor(Unit));
+    if (!Placement)
+      Placement = findPlacement(Sharing, Free, Unit.MayRunRemote);
+    if (!Placement)
+      return;
+    reserve(Unit, *Placement);
+    for (std::size_t W : *Placement)
+      In.Workers[W].HasSuspect = true;
+    noteReservation(Unit, *Placement);
+  }
+
+  void noteReservation(const PlanUnit &Unit, const Assignment &Placement) {
+    std::vector<WorkerIncarnation> &Reserved =
+        Out.Reservations[{Unit.Job, Unit.Tasks.front()}];
+    for (std::size_t W : Placement)
+      Reserved.push_back(In.Workers[W].Incarnation);
   }
 
   /// Returns the free resources once all stopping runs have ended.
@@ -261,10 +347,7 @@
     if (!Placement)
       return;
     reserve(Unit, *Placement);
-    std::vector<WorkerIncarnation> &Reserved =
-        Out.Reservations[{Unit.Job, Unit.Tasks.front()}];
-    for (std::size_t W : *Placement)
-      Reserved.push_back(In.Workers[W].Incarnation);
+    noteReservation(Unit, *Placement);
   }
 
   std::optional<Assignment> preempt(const PlanUnit &Unit) {
@@ -345,7 +428,7 @@
     std::optional<std::size_t> Best;
     for (std::size_t W = 0; W < In.Workers.size(); ++W) {
       if (!Filter(W) || !isEligible(In.Workers[W], Unit) ||
-          After[W].covers(Need))
+          !mayJoin(In.Workers[W], Unit) || After[W].covers(Need))
         continue;
       const auto [Loss, First] = preemptionLoss(W, After[W], Need, Removed);
       if (First && Loss < BestLoss) {
@@ -403,33 +486,6 @@
 
 } // namespace
 
-Resources &Resources::operator+=(const Resources &Other) {
-  MilliCores += Other.MilliCores;
-  MemoryMb += Other.MemoryMb;
-  Accelerators += Other.Accelerators;
-  return *this;
-}
-
-Resources &Resources::operator-=(const Resources &Other) {
-  MilliCores -= Other.MilliCores;
-  MemoryMb -= Other.MemoryMb;
-  Accelerators -= Other.Accelerators;
-  return *this;
-}
-
-bool Resources::covers(const Resources &Need) const {
-  const auto Holds = [](std::int64_t Free, std::int64_t Wanted) {
-    return Wanted <= 0 || Free >= Wanted;
-  };
-  return Holds(MilliCores, Need.MilliCores) && Holds(MemoryMb, Need.MemoryMb) &&
-         Holds(Accelerators, Need.Accelerators);
-}
-
-Resources resourcesOf(const wire::StepSpec &Step) {
-  return {Step.fills() ? 0 : Step.milli_cores(), Step.memory_mb(),
-          Step.accelerators()};
-}
-
 TaskPlan planTasks(PlanInput Input) { return Planner(std::move(Input)).run(); }
 
 } // namespace baobabcove
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -3,6 +3,7 @@
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
+#include "tasks/Resources.h"
 #include "tasks/TaskJob.h"
 
 #include <cstdint>
@@ -12,22 +13,6 @@
 
 namespace baobabcove {
 
-/// An amount of resources, as a worker offers and a task requires them.
-struct Resources {
-  std::int64_t MilliCores = 0;
-  std::int64_t MemoryMb = 0;
-  std::int64_t Accelerators = 0;
-
-  Resources &operator+=(const Resources &Other);
-  Resources &operator-=(const Resources &Other);
-  /// Whether \p Need fits into this amount; a need of zero always fits.
-  bool covers(const Resources &Need) const;
-};
-
-/// Returns the resources that a task of \p Step requires. Tasks that only use
-/// the cores that others leave idle count without cores.
-Resources resourcesOf(const wire::StepSpec &Step);
-
 /// The planner's view of a worker.
 struct PlanWorker {
   WorkerIncarnation Incarnation;
@@ -44,6 +29,13 @@
   /// Whether new tasks may be placed: the worker is reachable and neither
   /// draining nor quarantined.
   bool AcceptsTasks = true;
+  /// Number of all runs, including those that are stopping.
+  std::uint32_t Runs = 0;
+  /// Whether any of the runs has not survived its probation.
+  bool HasRunOnProbation = false;
+  /// Whether a run of a unit under suspicion is on the worker, which gets no
+  /// other unit then.
+  bool HasSuspect = false;
 };
 
 /// A run that may be preempted.
@@ -79,6 +71,15 @@
   /// Number of workers that it must leave fully free for urgent jobs, because
   /// it can wait.
   std::size_t KeepFullyFree = 0;
+  /// Under suspicion of crashing its workers: starts only on workers without
+  /// other runs, so that no other unit can cause the next crash.
+  bool Isolated = false;
+  /// Whether an isolated unit has waited for too long: it may start beside runs
+  /// that have survived their probation, and away from its data.
+  bool MayShareWorker = false;
+  /// Nodes on which workers crashed under an isolated unit. It starts on others
+  /// if there are any, because the workers may be faulty.
+  std::vector<NodeId> CrashNodes;
 };
 
 /// A snapshot of the cell.
--- a/src/tasks/WorkerLiveness.h
+++ b/src/tasks/WorkerLiveness.h
@@ -20,6 +20,8 @@
   bool answers() const { return Answers; }
   /// Whether only refusals have been seen for so long that the process must
   /// have ended.
+  /// Whether the worker's host refused the last connection.
+  bool refuses() const { return RefusingSince != BootInstant{}; }
   bool hasEnded(BootInstant Now) const;
 
 private:
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -349,3 +349,57 @@
   CHECK_FALSE(last().lapsed());
   STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
 }
+
+// Pattern: a worker crashes under a task that was just started. The coordinator
+// must learn which runs may have caused it.
+TEST(TaskAgent, ReportsTheRunsOfACrashedWorker) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
+  LONGS_EQUAL(1, last().lost_runs_size());
+  STRCMP_EQUAL("j.0.0.0", last().lost_runs(0).task().c_str());
+  STRCMP_EQUAL("", last().left_worker().c_str());
+  // An earlier agent may have started more.
+  CHECK_FALSE(last().lost_runs_complete());
+  Agent->onHeartbeat(heartbeat(9, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#9"; }));
+  CHECK_TRUE(last().lost_runs_complete());
+}
+
+TEST(TaskAgent, ReportsThatAWorkerLeftInAnOrderlyWay) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  Agent->onWorkerLeft("i-1");
+  CHECK_TRUE(waitUntil([&] { return last().left_worker() == "n1/i-1#7"; }));
+  // The next incarnation replaces the absent worker, not a running one.
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().left_worker().c_str());
+}
+
+TEST(TaskAgent, ReportsTheEndOfADrainingWorkerAsOrderly) {
+  WorkerHeartbeat Draining = heartbeat(7, 2);
+  Draining.Draining = true;
+  Agent->onHeartbeat(Draining);
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().left_worker().c_str());
+}
+
+// Pattern: starts that are ordered after a crash, before it is certain, would
+// make their tasks look guilty.
+TEST(TaskAgent, SendsNoStartToAWorkerThatRefusesConnections) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Refuses = true;
+  }
+  CHECK_TRUE(waitUntil([&] {
+    return Stats.text().find("listing_failures") != std::string::npos;
+  }));
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  LONGS_EQUAL(0, Worker.Starts);
+  LONGS_EQUAL(0, last().lost_runs_size());
+}
--- a/tests/tasks/TaskJobTest.cpp
+++ b/tests/tasks/TaskJobTest.cpp
@@ -79,6 +79,33 @@
   LONGS_EQUAL(2, Job.progress().tasks_size());
 }
 
+TEST(TaskJob, RestoresTheCrashesThatItStored) {
+  TaskJob Job(Spec);
+  Job.task(3).Phase = wire::TASK_PLACED;
+  Job.task(3).Run = 4;
+  Job.task(3).Worker = WorkerIncarnation("n/w#2");
+  Job.task(3).Lost = true;
+  Job.task(3).Crashes.record(Blame::Certain, NodeId("n"), 4);
+  TaskJob Restored(Spec);
+  Restored.restore(Job.progress());
+  CHECK_TRUE(Restored.task(3).Crashes.isSuspect());
+  LONGS_EQUAL(1, Restored.task(3).Crashes.crashes());
+  CHECK_TRUE(Restored.task(3).Lost);
+  CHECK_TRUE(Restored.task(3).StopRequested);
+}
+
+TEST(TaskJob, RestoresRecordsThatPrecedeTheCountingOfCrashes) {
+  wire::TaskJobProgress Stored;
+  wire::TaskRecord &Record = *Stored.add_tasks();
+  Record.set_phase(wire::TASK_PLACED);
+  Record.set_run(1);
+  Record.set_worker("n/w#1");
+  TaskJob Restored(Spec);
+  Restored.restore(Stored);
+  CHECK_TRUE(Restored.task(0).Crashes.empty());
+  CHECK_FALSE(Restored.task(0).StopRequested);
+}
+
 TEST(TaskJob, ReportsAJobCompletedBeforeItsCancellationAsCompleted) {
   TaskJob Job(Spec);
   Job.Cancelled = true;
--- a/tests/tasks/TaskModelTest.cpp
+++ b/tests/tasks/TaskModelTest.cpp
@@ -1,11 +1,15 @@
 // Randomized model of runs under faults: coordinators take over from each
-// other, agents restart, and workers lose answers and carry out orders late. In
-// every order of events no task may run twice at once, nor start again after
-// its end was acknowledged.
+// other, agents restart, and workers lose answers, carry out orders late and
+// crash, some under each start of a deadly task. In every order of events no
+// task may run twice at once, nor start again after its end was acknowledged. A
+// deadly task must not start three times more after three workers have crashed
+// under it; any other job may fail only if two have crashed under one of its
+// tasks.
 
 #include "tasks/JobTracker.h"
 #include "tasks/RunOrderTracker.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <deque>
 #include <random>
@@ -26,6 +30,10 @@
   std::map<std::string, std::uint64_t> Barred;
   std::vector<wire::RunEnd> Ends;
   std::uint64_t LastEnd = 0;
+  /// The last incarnation that announced its end.
+  std::string Left;
+  /// The deadly task that is about to crash this incarnation; empty for none.
+  std::string CrashingUnder;
   /// Orders that are carried out later, after orders sent in the meantime.
   std::deque<std::pair<bool, RunId>> Delayed;
 
@@ -67,9 +75,15 @@
     Barred.clear();
     Ends.clear();
     LastEnd = 0;
+    CrashingUnder.clear();
     // Orders name their worker incarnation; the next one refuses them.
     Delayed.clear();
   }
+
+  void leave() {
+    Left = incarnation();
+    crash();
+  }
 };
 
 struct ModelAgent {
@@ -77,12 +91,24 @@
   RunOrderTracker RunOrders;
   wire::TaskOrders Orders;
   std::string WorkerIncarnation;
+  /// The last incarnation that announced its end to this agent.
+  std::string LeftWorker;
+  /// The last incarnation that ended after it was listed, and its runs.
+  std::string LostWorker;
+  std::set<RunId> LostRuns;
+  bool AreLostRunsComplete = false;
+  /// Whether the worker incarnation started after the agent.
+  bool IsSoleAgent = false;
+  /// Runs that the worker listed last, and those that were sent to it.
+  std::set<RunId> ListedRuns;
+  std::set<RunId> SentRuns;
   std::deque<std::pair<bool, RunId>> ToSend;
 };
 
 class Model {
 public:
-  explicit Model(unsigned Seed) : Random(Seed) {
+  explicit Model(unsigned Seed, std::set<std::string> Deadly = {})
+      : Random(Seed), Deadly(std::move(Deadly)) {
     for (int N = 0; N < 3; ++N) {
       Workers.emplace_back();
       Workers.back().Node = "n" + std::to_string(N);
@@ -115,7 +141,7 @@
       step();
       bool Done = true;
       for (const auto &[Id, Job] : Tracker.jobs())
-        Done = Done && Job.areAllDone();
+        Done = Done && (Job.Failed || Job.areAllDone());
       if (Done)
         return true;
     }
@@ -133,6 +159,7 @@
   void step() {
     Now.Boot += Milliseconds(50);
     Now.UnixMs += 50;
+    crashUnderDeadlyTasks();
     const std::size_t N = pick(Workers.size());
     switch (pick(6)) {
     case 0:
@@ -164,7 +191,40 @@
     else if (chance(8))
       restartAgent(N);
     else if (chance(3))
-      Workers[N].crash();
+      crash(Workers[N]);
+    else if (!Deadly.empty() && chance(3))
+      leave(N);
+  }
+
+  void leave(std::size_t N) {
+    Workers[N].leave();
+    Agents[N].LeftWorker = Workers[N].Left;
+  }
+
+  bool hasDeadlyTask(const JobId &Id) const {
+    return std::any_of(Deadly.begin(), Deadly.end(), [&](const auto &Task) {
+      return Task.rfind(Id.str() + ".", 0) == 0;
+    });
+  }
+
+  /// Whether two workers have crashed under one task of the job.
+  bool hasCrashedTwoWorkers(const JobId &Id) const {
+    return std::any_of(
+        CrashesUnder.begin(), CrashesUnder.end(), [&](const auto &Known) {
+          return Known.second >= 2 && Known.first.rfind(Id.str() + ".", 0) == 0;
+        });
+  }
+
+  void crashUnderDeadlyTasks() {
+    for (ModelWorker &Worker : Workers)
+      if (!Worker.CrashingUnder.empty())
+        crash(Worker);
+  }
+
+  void crash(ModelWorker &Worker) {
+    for (const auto &[Task, Run] : Worker.Running)
+      ++CrashesUnder[Task];
+    Worker.crash();
   }
 
   /// Models a new coordinator, which knows only what the last one stored.
@@ -191,6 +251,14 @@
     ModelWorker &Worker = Workers[N];
     ModelAgent &Agent = Agents[N];
     if (Agent.WorkerIncarnation != Worker.incarnation()) {
+      if (!Agent.WorkerIncarnation.empty()) {
+        Agent.LostWorker = Agent.WorkerIncarnation;
+        Agent.AreLostRunsComplete = Agent.IsSoleAgent;
+        Agent.IsSoleAgent = true;
+        Agent.LostRuns = std::move(Agent.ListedRuns);
+        Agent.LostRuns.insert(Agent.SentRuns.begin(), Agent.SentRuns.end());
+        Agent.SentRuns.clear();
+      }
       Agent.RunOrders.clear();
       Agent.Orders.Clear();
       Agent.ToSend.clear();
@@ -204,6 +272,14 @@
     Report.set_accelerators(8);
     Report.set_complete(true);
     Report.set_agent_life(Agent.Incarnation);
+    Report.set_left_worker(Agent.LeftWorker);
+    Report.set_lost_worker(Agent.LostWorker);
+    Report.set_lost_runs_complete(Agent.AreLostRunsComplete);
+    for (const auto &[Task, Run] : Agent.LostRuns) {
+      wire::RunKey &Key = *Report.add_lost_runs();
+      Key.set_task(Task);
+      Key.set_run(Run);
+    }
     for (const auto &[Task, Run] : Worker.Running) {
       wire::RunStatus &Status = *Report.add_running();
       Status.set_task(Task);
@@ -214,6 +290,9 @@
       *Report.add_ends() = End;
       Known.insert({End.task(), End.run()});
     }
+    Agent.ListedRuns = {Worker.Running.begin(), Worker.Running.end()};
+    for (const wire::RunEnd &End : Worker.Ends)
+      Agent.SentRuns.erase({End.task(), End.run()});
     Agent.RunOrders.applyListing(Known, Now.Boot);
     for (const wire::RunRefusal &Refusal : Agent.RunOrders.refusals())
       *Report.add_refusals() = Refusal;
@@ -309,6 +388,8 @@
       Started = startRun(Worker, Run);
     const bool Listed = Worker.Running.count(Run.first) &&
                         Worker.Running.at(Run.first) == Run.second;
+    if (IsDelayed || !Refuses)
+      Agent.SentRuns.insert(Run);
     if (!IsDelayed && !AnswerIsLost && Refuses && !MayHaveBeenSent)
       Agent.RunOrders.markRefused(Run, wire::REFUSED_NO_ROOM);
     else if (Listed || (Started && !AnswerIsLost))
@@ -324,6 +405,11 @@
     const bool Started = Worker.start(Run);
     if (Started && !WasRunning && Done.count(Run.first))
       Violation = Run.first + " starts after its end was acknowledged";
+    if (Started && !WasRunning && Deadly.count(Run.first)) {
+      Worker.CrashingUnder = Run.first;
+      if (CrashesUnder[Run.first] >= 3 && ++LaterStarts[Run.first] >= 3)
+        Violation = Run.first + " starts three times more after three crashes";
+    }
     return Started;
   }
 
@@ -356,9 +442,18 @@
       for (const auto &[Task, Run] : Worker.Running)
         if (++Count[Task] > 1)
           Violation = Task + " runs twice";
+    for (const auto &[Id, Job] : std::as_const(Tracker).jobs())
+      if (Job.Failed && !hasDeadlyTask(Id) && !hasCrashedTwoWorkers(Id))
+        Violation = Id.str() + " fails without cause";
   }
 
   std::mt19937 Random;
+  /// Tasks that crash the worker that starts them.
+  std::set<std::string> Deadly;
+  /// Number of crashes of workers while they ran the task.
+  std::map<std::string, int> CrashesUnder;
+  /// Starts of deadly tasks after three crashes.
+  std::map<std::string, int> LaterStarts;
   ClockReading Now{BootInstant(Milliseconds(100000)), 1000000};
   std::vector<std::shared_ptr<wire::TaskJobSpec>> Specs;
   std::vector<ModelWorker> Workers;
@@ -392,3 +487,27 @@
       FAIL(("seed " + std::to_string(Seed) + ": unfinished jobs").c_str());
   }
 }
+
+// Pattern: some tasks crash each worker that starts them, so that they would be
+// started, and crash workers, without end.
+TEST(TaskModel, SeldomRestartsATaskThatCrashesItsWorkers) {
+  for (unsigned Seed = 1; Seed <= 300; ++Seed) {
+    Model Cell(Seed, {"job0.0.0.1", "job2.0.0.0"});
+    const std::string Violation = Cell.run(2000);
+    if (!Violation.empty())
+      FAIL(("seed " + std::to_string(Seed) + ": " + Violation).c_str());
+  }
+}
+
+// Pattern: the jobs beside a deadly task lose their workers each time it
+// starts.
+TEST(TaskModel, EndsEveryJobBesideDeadlyTasksOnceFaultsStop) {
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    Model Cell(Seed, {"job0.0.0.1", "job2.0.0.0"});
+    const std::string Violation = Cell.run(300);
+    if (!Violation.empty())
+      FAIL(("seed " + std::to_string(Seed) + ": " + Violation).c_str());
+    if (!Cell.allDone())
+      FAIL(("seed " + std::to_string(Seed) + ": unfinished jobs").c_str());
+  }
+}
--- a/tests/tasks/TaskPlannerTest.cpp
+++ b/tests/tasks/TaskPlannerTest.cpp
@@ -187,3 +187,82 @@
   LONGS_EQUAL(1, Plan.Starts[1].Task);
   STRCMP_EQUAL("narrow", Plan.Starts[2].Job.str().c_str());
 }
+
+// Pattern: a unit is suspected of crashing its workers; the next crash must be
+// attributable to it.
+TEST(TaskPlanner, StartsAnIsolatedUnitOnAWorkerWithoutOtherRuns) {
+  addWorker("n0/w#1", "r1");
+  addWorker("n1/w#1", "r1");
+  Input.Workers[0].Runs = 1;
+  Input.Workers[0].Free.Accelerators = 4;
+  addUnit("suspect", 1, 1);
+  Input.Units[0].Isolated = true;
+  LONGS_EQUAL(1, planTasks(Input).Starts.at(0).Worker);
+  Input.Workers[1].Runs = 1;
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, PlacesNothingBesideASuspect) {
+  addWorker("n0/w#1", "r1");
+  addUnit("suspect", 1, 1, 1);
+  Input.Units[0].Isolated = true;
+  addUnit("other", 1, 1, 2);
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(1, Plan.Starts.size());
+  STRCMP_EQUAL("suspect", Plan.Starts[0].Job.str().c_str());
+  Input.Units.erase(Input.Units.begin());
+  Input.Workers[0].HasSuspect = true;
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, StartsAnIsolatedUnitBesideProvenRunsAfterItsWait) {
+  addWorker("n0/w#1", "r1");
+  addWorker("n1/w#1", "r1");
+  Input.Workers[0].Runs = 1;
+  Input.Workers[0].HasRunOnProbation = true;
+  Input.Workers[1].Runs = 2;
+  addUnit("suspect", 1, 1);
+  Input.Units[0].Isolated = true;
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+  Input.Units[0].MayShareWorker = true;
+  LONGS_EQUAL(1, planTasks(Input).Starts.at(0).Worker);
+}
+
+// Pattern: short tasks follow each other on all workers, so that there is
+// always one on probation beside which the suspect must not start.
+TEST(TaskPlanner, KeepsNewRunsAwayFromAWorkerForAWaitingSuspect) {
+  addWorker("n0/w#1", "r1");
+  Input.Workers[0].Runs = 1;
+  Input.Workers[0].HasRunOnProbation = true;
+  addUnit("suspect", 1, 1, 1);
+  Input.Units[0].Isolated = true;
+  addUnit("short", 1, 1, 2);
+  LONGS_EQUAL(1, planTasks(Input).Starts.size());
+  Input.Units[0].MayShareWorker = true;
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(0, Plan.Starts.size());
+  LONGS_EQUAL(1, Plan.Reservations.size());
+}
+
+// Pattern: a faulty worker crashes whatever it runs, and its tasks must not be
+// blamed for it.
+TEST(TaskPlanner, AvoidsNodesOfEarlierCrashesIfThereAreOthers) {
+  addWorker("n0/w#1", "r1");
+  addWorker("n1/w#1", "r1");
+  Input.Workers[1].Runs = 1;
+  Input.Workers[1].Free.Accelerators = 0;
+  addUnit("suspect", 1, 1);
+  Input.Units[0].Isolated = true;
+  Input.Units[0].CrashNodes = {NodeId("n0")};
+  LONGS_EQUAL(0, planTasks(Input).Starts.size());
+  Input.Workers.pop_back();
+  LONGS_EQUAL(1, planTasks(Input).Starts.size());
+}
+
+TEST(TaskPlanner, StartsAnIsolatedGangOnWorkersOfItsOwn) {
+  addWorker("n0/w#1", "r1");
+  addWorker("n1/w#1", "r1");
+  addUnit("gang", 3, 4);
+  Input.Units[0].Isolated = true;
+  LONGS_EQUAL(3, planTasks(Input).Starts.size());
+}
