Start nothing beyond a worker's capacity that has shrunk

Cause: the capacity was taken for constant within an incarnation. A heartbeat with another one was reported only with the next poll; a start that had been ordered before was repeated until the worker listed it, and was also handed to an agent that came back with less capacity; and a task that needs none of what is short was placed on a worker that was over its capacity already.

Change: the agent reports a changed capacity at once. When a report shows that the placed runs exceed the capacity, the coordinator withdraws starts that are not listed yet: their runs are barred like any other before they are placed again. Orders made for more capacity than a report shows are not given in reply; the next round makes new ones. Nothing fits into a negative amount of resources.

Evidence, on the code before:

JobTracker/PlacesNothingBeyondAShrunkCapacity expected <0>, but was <1> (TASK_WAITING, TASK_PLACED) JobTracker/WithdrawsAStartThatNoLongerFitsItsWorker ordersFor(Report).starts_size(): expected <0>, but was <1> TaskCoordinatorOrders/GivesNoOrdersForACapacityThatHasShrunk attend().starts_size(): expected <0>, but was <1> TaskAgent/ReportsAChangedCapacityWithoutWaitingForThePoll waitUntil(accelerators() == 3) failed

They pass now.

--- a/src/tasks/JobTracker.cpp
+++ b/src/tasks/JobTracker.cpp
@@ -131,6 +131,7 @@
   applyRunning(Report, Incarnation, Now);
   applyEnds(Report, Incarnation, Now);
   applyRefusals(Report, Incarnation, Now);
+  withdrawStarts(Report);
 }
 
 void JobTracker::applyRunning(const wire::TaskReport &Report,
--- a/src/tasks/JobTracker.h
+++ b/src/tasks/JobTracker.h
@@ -105,6 +105,10 @@
   const TaskRefs &placedOn(const NodeId &Node);
   void updatePlacedIndex();
 
+  /// Withdraws starts that were ordered before the worker's capacity shrank, as
+  /// far as they do not fit any more and may not have been carried out yet.
+  void withdrawStarts(const wire::TaskReport &Report);
+
   TaskState *findRun(const std::string &Name, std::uint64_t Run,
                      const WorkerIncarnation &Incarnation, TaskRef &At);
   void applyRunning(const wire::TaskReport &Report,
--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/JobTrackerPlanning.cpp
@@ -96,8 +96,7 @@
     Worker.Service = ServiceName(Report.service());
     Worker.Rack = RackName(Report.rack());
     Worker.Labels.assign(Report.labels().begin(), Report.labels().end());
-    Worker.Capacity = {Report.milli_cores(), Report.memory_mb(),
-                       Report.accelerators()};
+    Worker.Capacity = capacityOf(Report);
     Worker.Free = Worker.Capacity;
     Worker.AcceptsTasks =
         !Report.draining() &&
@@ -141,6 +140,30 @@
   return Input;
 }
 
+void JobTracker::withdrawStarts(const wire::TaskReport &Report) {
+  Resources Free = capacityOf(Report);
+  TaskRefs Unlisted;
+  for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
+    const TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase != wire::TASK_PLACED || Task.Worker.str() != Report.worker())
+      continue;
+    Free -= resourcesOf(At.Job->step(At.Task));
+    if (!Task.Listed && !Task.StopRequested)
+      Unlisted.push_back(At);
+  }
+  for (const TaskRef &At : Unlisted) {
+    if (!Free.isNegative())
+      return;
+    Free += resourcesOf(At.Job->step(At.Task));
+    stopMembers(At);
+    LOG4CPLUS_INFO(runLog(), LogFields("start withdrawn")
+                                 .add("task", toText(At.Job->name(At.Task)))
+                                 .add("run", At.Job->task(At.Task).Run)
+                                 .add("worker", Report.worker())
+                                 .add("why", "worker's capacity has shrunk"));
+  }
+}
+
 std::set<JobId> JobTracker::guaranteedJobs(const QueueConfig &Config) const {
   std::map<std::string, std::vector<const TaskJob *>> ByWorkspace;
   for (const auto &[Id, Job] : Jobs)
--- a/src/tasks/Resources.cpp
+++ b/src/tasks/Resources.cpp
@@ -16,7 +16,19 @@
   return *this;
 }
 
+bool Resources::isNegative() const {
+  return MilliCores < 0 || MemoryMb < 0 || Accelerators < 0;
+}
+
+bool isLessInAnyPart(const Resources &Left, const Resources &Right) {
+  Resources Difference = Left;
+  Difference -= Right;
+  return Difference.isNegative();
+}
+
 bool Resources::covers(const Resources &Need) const {
+  if (isNegative())
+    return false;
   const auto Holds = [](std::int64_t Free, std::int64_t Wanted) {
     return Wanted <= 0 || Free >= Wanted;
   };
@@ -24,6 +36,10 @@
          Holds(Accelerators, Need.Accelerators);
 }
 
+Resources capacityOf(const wire::TaskReport &Report) {
+  return {Report.milli_cores(), Report.memory_mb(), Report.accelerators()};
+}
+
 Resources resourcesOf(const wire::StepSpec &Step) {
   return {Step.fills() ? 0 : Step.milli_cores(), Step.memory_mb(),
           Step.accelerators()};
--- a/src/tasks/Resources.h
+++ b/src/tasks/Resources.h
@@ -15,14 +15,23 @@
 
   Resources &operator+=(const Resources &Other);
   Resources &operator-=(const Resources &Other);
-  /// Whether \p Need fits into this amount; a need of zero always fits.
+  /// Whether more is in use than there is, of anything.
+  bool isNegative() const;
+  /// Whether \p Need fits into this amount. A part of it that is zero always
+  /// fits, but nothing fits into a negative amount.
   bool covers(const Resources &Need) const;
 };
 
+/// Whether \p Left is less than \p Right in any part.
+bool isLessInAnyPart(const Resources &Left, const Resources &Right);
+
 /// Returns the resources that a task of \p Step requires. Tasks that only use
 /// the cores that others leave idle count without cores.
 Resources resourcesOf(const wire::StepSpec &Step);
 
+/// Returns the capacity that the worker of \p Report offers now.
+Resources capacityOf(const wire::TaskReport &Report);
+
 } // namespace baobabcove
 
 #endif // BAOBABCOVE_TASKS_RESOURCES_H
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -72,6 +72,10 @@
   const WorkerIncarnation Name =
       incarnationOf(Settings.Node, Heartbeat.Id, Heartbeat.StartedAtMs);
   const bool NewIncarnation = Name != WorkerName;
+  const bool NewCapacity =
+      Worker && !(Heartbeat.MilliCores == Worker->MilliCores &&
+                  Heartbeat.MemoryMb == Worker->MemoryMb &&
+                  Heartbeat.Accelerators == Worker->Accelerators);
   if (NewIncarnation && Worker)
     noteEnd(false);
   Worker = Heartbeat;
@@ -93,7 +97,14 @@
                    LogFields("worker is draining")
                        .add("worker", Name)
                        .add("remaining_ms", Heartbeat.Remaining.count()));
-  if (NewIncarnation || StartsDraining) {
+  if (NewCapacity)
+    LOG4CPLUS_INFO(logOf("worker"),
+                   LogFields("worker's capacity changed")
+                       .add("worker", Name)
+                       .add("milli_cores", Heartbeat.MilliCores)
+                       .add("memory_mb", Heartbeat.MemoryMb)
+                       .add("accelerators", Heartbeat.Accelerators));
+  if (NewIncarnation || StartsDraining || NewCapacity) {
     ReportPending = true;
     ReportNeeded.notify_all();
     StateChanged.notify_all();
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -90,14 +90,13 @@
     return Stopping ||
            (Serving != Epoch() &&
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
-            Sessions[Node].Orders.worker() == Report.worker());
+            areOrdersFor(Sessions[Node], Report));
   });
   const auto Term = Role->term();
   if (Stopping || !Term || !Role->isConfirmed())
     return NotCoordinating;
   wire::TaskOrders Reply;
-  if (Serving == Term->Number &&
-      Sessions[Node].Orders.worker() == Report.worker())
+  if (Serving == Term->Number && areOrdersFor(Sessions[Node], Report))
     Reply = Sessions[Node].Orders;
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
@@ -105,6 +104,12 @@
   return Reply;
 }
 
+bool TaskCoordinator::areOrdersFor(const WorkerSession &Session,
+                                   const wire::TaskReport &Report) {
+  return Session.Orders.worker() == Report.worker() &&
+         !isLessInAnyPart(capacityOf(Report), Session.OrdersCapacity);
+}
+
 void TaskCoordinator::onRoleChange() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   HasWork = true;
@@ -260,9 +265,10 @@
                                                SlowestClockRate)) +
         LeaseExpiryMargin;
     for (auto &[Node, Session] : Sessions) {
-      if (Session.HasNewReport)
+      if (Session.HasNewReport) {
         Received.emplace_back(Session.Report, Session.GrantedAt);
-      else if (Now - Session.GrantedAt > LeaseExpiry && Busy.count(Node))
+        Session.Capacity = capacityOf(Session.Report);
+      } else if (Now - Session.GrantedAt > LeaseExpiry && Busy.count(Node))
         Expired.push_back(Node);
       Session.HasNewReport = false;
     }
@@ -326,6 +332,7 @@
   for (auto &[Node, Session] : Sessions) {
     if (Session.Report.node().empty())
       continue;
+    Session.OrdersCapacity = Session.Capacity;
     wire::TaskOrders Orders = Tracker.ordersFor(Session.Report);
     std::string Serialized = Orders.SerializeAsString();
     if (Serialized == Session.PublishedOrders)
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -71,6 +71,10 @@
     std::vector<JobId> Cancels;
   };
 
+  /// Whether the session's orders are for the worker of \p Report and its
+  /// capacity has not shrunk since.
+  static bool areOrdersFor(const WorkerSession &Session,
+                           const wire::TaskReport &Report);
   void run();
   void round();
   bool takeOver(const CoordinatorTerm &Term);
--- a/src/tasks/WorkerSession.h
+++ b/src/tasks/WorkerSession.h
@@ -3,6 +3,7 @@
 
 #include "baobabcove/Clock.h"
 #include "tasks.pb.h"
+#include "tasks/Resources.h"
 #include "tasks/TaskJob.h"
 
 #include <cstdint>
@@ -21,6 +22,10 @@
   wire::TaskOrders Orders;
   /// The reply without its revision, serialized, to detect changes.
   std::string PublishedOrders;
+  /// The worker's capacity in the last report that was processed, and the one
+  /// for which the orders were made.
+  Resources Capacity;
+  Resources OrdersCapacity;
 };
 
 } // namespace baobabcove
--- a/tests/tasks/JobTrackerTest.cpp
+++ b/tests/tasks/JobTrackerTest.cpp
@@ -453,3 +453,40 @@
   Tracker.plan({Report}, Config, Now);
   CHECK(Tracker.ordersFor(Report).stops_size() > 0);
 }
+
+// Pattern: a worker's capacity shrinks while a start is on its way to it.
+TEST(JobTracker, WithdrawsAStartThatNoLongerFitsItsWorker) {
+  Tracker.addJob(jobOf("j", 2));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  list(Report, "j.0.0.0", 1);
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).starts_size());
+  Report.set_accelerators(4);
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(0, Tracker.ordersFor(Report).starts_size());
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).stops_size());
+  STRCMP_EQUAL("j.0.0.1", Tracker.ordersFor(Report).stops(0).task().c_str());
+}
+
+// Pattern: a worker's capacity shrinks below what runs on it. The runs go on,
+// but nothing joins them until the capacity has grown again.
+TEST(JobTracker, PlacesNothingBeyondAShrunkCapacity) {
+  auto Small = jobOf("small", 1);
+  Small->mutable_steps(0)->set_accelerators(0);
+  Tracker.addJob(jobOf("j", 2));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  list(Report, "j.0.0.0", 1);
+  list(Report, "j.0.0.1", 1);
+  Report.set_accelerators(2);
+  Tracker.applyReport(Report, Now);
+  Tracker.addJob(Small);
+  Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(wire::TASK_WAITING, job("small").task(0).Phase);
+  LONGS_EQUAL(0, Tracker.ordersFor(Report).stops_size());
+  Report.set_accelerators(8);
+  Tracker.applyReport(Report, Now);
+  Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("small").task(0).Phase);
+}
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -138,6 +138,8 @@
   std::mutex Mutex;
   wire::TaskOrders Orders;
   wire::TaskReport Last;
+  /// Whether reports that need not be answered at once are ignored.
+  std::atomic<bool> IgnoresPolls{false};
   std::unique_ptr<RpcServer> Coordinator;
   std::unique_ptr<TaskAgent> Agent;
 
@@ -151,6 +153,8 @@
                             [this](const wire::TaskReport &Report) {
                               std::this_thread::sleep_for(Milliseconds(10));
                               const std::lock_guard<std::mutex> Lock(Mutex);
+                              if (IgnoresPolls && Report.wait_ms() > 0)
+                                return Orders;
                               if (Report.sequence() > Last.sequence())
                                 Last = Report;
                               return Orders;
@@ -403,3 +407,14 @@
   LONGS_EQUAL(0, Worker.Starts);
   LONGS_EQUAL(0, last().lost_runs_size());
 }
+
+// Pattern: a worker's capacity shrinks; starts that the coordinator orders
+// until it knows would exceed it.
+TEST(TaskAgent, ReportsAChangedCapacityWithoutWaitingForThePoll) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  IgnoresPolls = true;
+  WorkerHeartbeat Shrunk = heartbeat(7, 2);
+  Shrunk.Accelerators = 3;
+  Agent->onHeartbeat(Shrunk);
+  CHECK_TRUE(waitUntil([&] { return last().accelerators() == 3; }));
+}
