Count runs that are being stopped after their task is done

What callers would see: a start brings a worker over its capacity while another run is being stopped there, which still counts (LIMIT).

Cause: when an earlier run of a task turns out to be done, or one member of a gang ends, the task is done at once. Its other run, which the worker still lists and is told to stop, was not counted any more, and its resources were placed again before they were free.

Change: the planner's input counts each run that a worker lists and that is not placed there as usage that will be released.

Evidence: JobTracker/CountsARunThatIsBeingStoppedAfterItsTaskIsDone failed on the code before (expected <0>, but was <1>: TASK_WAITING, TASK_PLACED) and passes now.

--- a/src/tasks/JobTracker.h
+++ b/src/tasks/JobTracker.h
@@ -108,6 +108,10 @@
   /// Withdraws starts that were ordered before the worker's capacity shrank, as
   /// far as they do not fit any more and may not have been carried out yet.
   void withdrawStarts(const wire::TaskReport &Report);
+  /// Adds the usage of runs that the worker lists but that are not placed there
+  /// any more; they are being stopped.
+  void addUnplacedRuns(const wire::TaskReport &Report,
+                       PlanWorker &Worker) const;
 
   TaskState *findRun(const std::string &Name, std::uint64_t Run,
                      const WorkerIncarnation &Incarnation, TaskRef &At);
--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/JobTrackerPlanning.cpp
@@ -98,6 +98,7 @@
     Worker.Labels.assign(Report.labels().begin(), Report.labels().end());
     Worker.Capacity = capacityOf(Report);
     Worker.Free = Worker.Capacity;
+    addUnplacedRuns(Report, Worker);
     Worker.AcceptsTasks =
         !Report.draining() &&
         !Quarantine.isQuarantined(NodeId(Report.node()), Now.Boot);
@@ -140,6 +141,26 @@
   return Input;
 }
 
+void JobTracker::addUnplacedRuns(const wire::TaskReport &Report,
+                                 PlanWorker &Worker) const {
+  for (const wire::RunStatus &Run : Report.running()) {
+    const auto Name = parseTaskName(Run.task());
+    const auto Job = Name ? Jobs.find(Name->Job) : Jobs.end();
+    const auto At =
+        Job == Jobs.end() ? std::nullopt : Job->second.position(*Name);
+    if (!At)
+      continue;
+    const TaskState &Task = Job->second.task(*At);
+    if (Task.Phase == wire::TASK_PLACED && Task.Run == Run.run() &&
+        Task.Worker == Worker.Incarnation)
+      continue;
+    const Resources Usage = resourcesOf(Job->second.step(*At));
+    Worker.Free -= Usage;
+    Worker.Releasing += Usage;
+    ++Worker.Runs;
+  }
+}
+
 void JobTracker::withdrawStarts(const wire::TaskReport &Report) {
   Resources Free = capacityOf(Report);
   TaskRefs Unlisted;
--- a/tests/tasks/JobTrackerTest.cpp
+++ b/tests/tasks/JobTrackerTest.cpp
@@ -490,3 +490,28 @@
   Tracker.plan({Report}, Config, Now);
   LONGS_EQUAL(wire::TASK_PLACED, job("small").task(0).Phase);
 }
+
+// Pattern: an earlier run of a task turns out to be done while a later one
+// runs. What is being stopped still uses its resources.
+TEST(JobTracker, CountsARunThatIsBeingStoppedAfterItsTaskIsDone) {
+  Tracker.addJob(jobOf("j", 1));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  end(Report, "j.0.0.0", 1, wire::RUN_STOPPED);
+  Tracker.applyReport(Report, Now);
+  Tracker.plan({Report}, Config, Now);
+  list(Report, "j.0.0.0", 2);
+  end(Report, "j.0.0.0", 1, wire::RUN_DONE);
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(wire::TASK_DONE, job("j").task(0).Phase);
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).stops_size());
+  auto Whole = jobOf("whole", 1);
+  Whole->mutable_steps(0)->set_accelerators(8);
+  Tracker.addJob(Whole);
+  Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(wire::TASK_WAITING, job("whole").task(0).Phase);
+  Report.clear_running();
+  Tracker.applyReport(Report, Now);
+  Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("whole").task(0).Phase);
+}
