Let a suspect return to the node of a crash when the others stay full

What callers would see: a task that lasts, on a worker that crashed once, was not started again while every other eligible worker was full, although its own was back and idle (LOST).

Cause: a unit under suspicion avoided the nodes of its crashes without a bound as long as any other worker could ever run it.

Change: it avoids them for 3 s. As crashes can then repeat on one node, whose worker may be faulty, they give a job up there at five instead of four, which is within the starts that BUDGET allows.

Evidence: JobTrackerCrash/ReturnsToTheNodeOfACrashIfTheOthersStayFull failed on the code before: the task was on no worker 6 s after the crash. It passes now.

--- a/src/tasks/CrashAttribution.cpp
+++ b/src/tasks/CrashAttribution.cpp
@@ -12,8 +12,8 @@
 constexpr std::size_t MaxCrashes = 3;
 constexpr std::size_t MinCertainCrashes = 2;
 constexpr std::size_t MinCertainNodes = 2;
-/// Without certain crashes, a unit is given up at this number, of which some
-/// had no other candidate.
+/// Without such certainty, a unit is given up at this number, of which some had
+/// no other candidate.
 constexpr std::size_t MaxUncertainCrashes = 5;
 constexpr std::size_t MinCrashesAlone = 2;
 
@@ -46,7 +46,7 @@
     return true;
   const std::set<NodeId> Distinct(CertainNodes.begin(), CertainNodes.end());
   return crashes() >= MaxCrashes && CertainNodes.size() >= MinCertainCrashes &&
-         (Distinct.size() >= MinCertainNodes || crashes() > MaxCrashes);
+         Distinct.size() >= MinCertainNodes;
 }
 
 std::vector<NodeId> CrashHistory::nodes() const {
--- a/src/tasks/CrashAttribution.h
+++ b/src/tasks/CrashAttribution.h
@@ -42,7 +42,7 @@
 
   /// Whether the unit crashes its workers beyond doubt. Shared crashes never
   /// suffice, and those of a single node, whose worker may be faulty, only
-  /// after one more.
+  /// after two more.
   bool provesUnitDeadly() const;
 
   bool empty() const {
--- a/src/tasks/JobTrackerCrashes.cpp
+++ b/src/tasks/JobTrackerCrashes.cpp
@@ -13,6 +13,9 @@
 
 /// A unit under suspicion waits for a worker of its own for this long.
 constexpr Milliseconds MaxIsolationWait{1500};
+/// It avoids the nodes of earlier crashes for this long. Then it returns there,
+/// because the other workers may stay full.
+constexpr Milliseconds MaxAvoidance{3000};
 
 log4cplus::Logger runLog() { return logOf("run"); }
 
@@ -204,7 +207,8 @@
     WaitingSince = std::max(WaitingSince, Job.task(Task).WaitingSince);
   Unit.Isolated = true;
   Unit.MayShareWorker = Now.Boot - WaitingSince >= MaxIsolationWait;
-  Unit.CrashNodes = Crashes.nodes();
+  if (Now.Boot - WaitingSince < MaxAvoidance)
+    Unit.CrashNodes = Crashes.nodes();
 }
 
 } // namespace baobabcove
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -77,8 +77,8 @@
   /// Whether an isolated unit has waited for too long: it may start beside runs
   /// that have survived their probation, and away from its data.
   bool MayShareWorker = false;
-  /// Nodes on which workers crashed under an isolated unit. It starts on others
-  /// if there are any, because the workers may be faulty.
+  /// Nodes that an isolated unit avoids if there are others, because workers
+  /// crashed under it there and may be faulty.
   std::vector<NodeId> CrashNodes;
 };
 
--- a/tests/tasks/CrashAttributionTest.cpp
+++ b/tests/tasks/CrashAttributionTest.cpp
@@ -77,8 +77,9 @@
 TEST(CrashAttribution, RequiresMoreCrashesOnASingleNode) {
   CrashHistory History = historyOf(
       {{Blame::Certain, "n1"}, {Blame::Certain, "n1"}, {Blame::Certain, "n1"}});
-  CHECK_FALSE(History.provesUnitDeadly());
   History.record(Blame::Certain, NodeId("n1"), 4);
+  CHECK_FALSE(History.provesUnitDeadly());
+  History.record(Blame::Certain, NodeId("n1"), 5);
   CHECK_TRUE(History.provesUnitDeadly());
 }
 
--- a/tests/tasks/JobTrackerCrashTest.cpp
+++ b/tests/tasks/JobTrackerCrashTest.cpp
@@ -396,6 +396,22 @@
     CHECK_TRUE(isCompleted("good" + std::to_string(J)));
 }
 
+// Pattern: the worker of a task that lasts crashes once, and all others stay
+// full.
+TEST(JobTrackerCrash, ReturnsToTheNodeOfACrashIfTheOthersStayFull) {
+  addWorkers(2);
+  Duration = 100000;
+  addJob("full", 8).mutable_steps(0)->set_long_running(true);
+  round();
+  addJob("j").mutable_steps(0)->set_long_running(true);
+  rounds(3);
+  CHECK_TRUE(workerOf("j.0.0.0") != nullptr);
+  workerOf("j.0.0.0")->restart();
+  rounds(60);
+  CHECK_TRUE(workerOf("j.0.0.0") != nullptr);
+  LONGS_EQUAL(2, Starts["j.0.0.0"]);
+}
+
 // Pattern: the machines lose power now and then while a task that lasts runs
 // alone on one of them. A task that has run for long crashes no worker.
 TEST(JobTrackerCrash, NeverGivesUpATaskThatRunsForLongBetweenCrashes) {
