--- /dev/null
+++ b/src/tasks/PlacementRules.h
@@ -0,0 +1,30 @@
+/// \file
+/// Which workers a unit may be placed on, apart from their resources.
+
+#ifndef BAOBABCOVE_TASKS_PLACEMENTRULES_H
+#define BAOBABCOVE_TASKS_PLACEMENTRULES_H
+
+#include "tasks/TaskPlanner.h"
+
+#include <vector>
+
+namespace baobabcove {
+
+/// Whether \p Worker accepts tasks of the service of \p Unit and has the label
+/// that it requires.
+bool isEligible(const PlanWorker &Worker, const PlanUnit &Unit);
+
+/// Whether \p Unit may start beside the runs on \p Worker.
+bool mayJoin(const PlanWorker &Worker, const PlanUnit &Unit);
+
+/// Whether \p Worker is on a node that \p Unit avoids for its crashes there.
+bool hasCrashedOn(const PlanUnit &Unit, const PlanWorker &Worker);
+
+/// Whether \p Unit fits on workers that it need not avoid, if they run nothing
+/// else.
+bool canAvoidCrashes(const std::vector<PlanWorker> &Workers,
+                     const PlanUnit &Unit);
+
+} // namespace baobabcove
+
+#endif // BAOBABCOVE_TASKS_PLACEMENTRULES_H
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -1,4 +1,5 @@
 #include "tasks/TaskPlanner.h"
+#include "tasks/PlacementRules.h"
 
 #include <algorithm>
 #include <functional>
@@ -84,46 +85,6 @@
     };
   }
 
-  bool isEligible(const PlanWorker &Worker, const PlanUnit &Unit) const {
-    const std::string &Label = Unit.Step->required_label();
-    return Worker.AcceptsTasks && Worker.Service == Unit.Service &&
-           (Label.empty() ||
-            std::find(Worker.Labels.begin(), Worker.Labels.end(), Label) !=
-                Worker.Labels.end());
-  }
-
-  /// Whether \p Unit may start beside the runs on a worker.
-  bool mayJoin(const PlanWorker &Worker, const PlanUnit &Unit) const {
-    if (!Unit.Isolated)
-      return !Worker.HasSuspect;
-    return Worker.Runs == 0 || (Unit.MayShareWorker && !Worker.HasSuspect &&
-                                !Worker.HasRunOnProbation);
-  }
-
-  static bool hasCrashedOn(const PlanUnit &Unit, const PlanWorker &Worker) {
-    return std::find(Unit.CrashNodes.begin(), Unit.CrashNodes.end(),
-                     nodeOf(Worker.Incarnation)) != Unit.CrashNodes.end();
-  }
-
-  /// Whether \p Unit fits on workers without its earlier crashes while they run
-  /// nothing else.
-  bool canAvoidCrashes(const PlanUnit &Unit) const {
-    if (Unit.CrashNodes.empty())
-      return false;
-    std::size_t Places = 0;
-    for (const PlanWorker &Worker : In.Workers) {
-      if (!isEligible(Worker, Unit) || hasCrashedOn(Unit, Worker))
-        continue;
-      const Resources Need = resourcesOf(*Unit.Step);
-      Resources Left = Worker.Capacity;
-      for (std::size_t T = 0; T < Unit.Tasks.size() && Left.covers(Need); ++T) {
-        Left -= Need;
-        ++Places;
-      }
-    }
-    return Places >= Unit.Tasks.size();
-  }
-
   /// Selects the workers that pass \p Filter and on whose nodes no worker has
   /// crashed under \p Unit.
   WorkerFilter awayFromCrashes(const PlanUnit &Unit,
@@ -260,7 +221,7 @@
   std::optional<Assignment> findPlacement(const PlanUnit &Unit,
                                           const ResourceList &Available,
                                           bool AllowRemote) const {
-    const bool AvoidsCrashes = canAvoidCrashes(Unit);
+    const bool AvoidsCrashes = canAvoidCrashes(In.Workers, Unit);
     const auto Usable = [&](const WorkerFilter &Filter) {
       return AvoidsCrashes ? awayFromCrashes(Unit, Filter) : Filter;
     };
