--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/JobTrackerPlanning.cpp
@@ -96,9 +96,9 @@
     Worker.Service = ServiceName(Report.service());
     Worker.Rack = RackName(Report.rack());
     Worker.Labels.assign(Report.labels().begin(), Report.labels().end());
-    Worker.Capacity = {Report.milli_cores(), Report.memory_mb(),
-                       Report.accelerators()};
+    Worker.Capacity = capacityOf(Report);
     Worker.Free = Worker.Capacity;
+    addUnplacedRuns(Report, Worker);
     Worker.AcceptsTasks =
         !Report.draining() &&
         !Quarantine.isQuarantined(NodeId(Report.node()), Now.Boot);
@@ -118,6 +118,9 @@
       const Resources Usage = resourcesOf(Job.step(At));
       PlanWorker &Worker = Input.Workers[WorkerIndex->second];
       Worker.Free -= Usage;
+      ++Worker.Runs;
+      Worker.HasRunOnProbation |= Task.seenAlive() < Probation;
+      Worker.HasSuspect |= crashesOf({&Job, At}).isSuspect();
       ++Input.OnWorker[{stepKey(Job.name(At)), WorkerIndex->second}];
       if (Task.StopRequested)
         Worker.Releasing += Usage;
@@ -138,6 +141,50 @@
   return Input;
 }
 
+void JobTracker::addUnplacedRuns(const wire::TaskReport &Report,
+                                 PlanWorker &Worker) const {
+  for (const wire::RunStatus &Run : Report.running()) {
+    const auto Name = parseTaskName(Run.task());
+    const auto Job = Name ? Jobs.find(Name->Job) : Jobs.end();
+    const auto At =
+        Job == Jobs.end() ? std::nullopt : Job->second.position(*Name);
+    if (!At)
+      continue;
+    const TaskState &Task = Job->second.task(*At);
+    if (Task.Phase == wire::TASK_PLACED && Task.Run == Run.run() &&
+        Task.Worker == Worker.Incarnation)
+      continue;
+    const Resources Usage = resourcesOf(Job->second.step(*At));
+    Worker.Free -= Usage;
+    Worker.Releasing += Usage;
+    ++Worker.Runs;
+  }
+}
+
+void JobTracker::withdrawStarts(const wire::TaskReport &Report) {
+  Resources Free = capacityOf(Report);
+  TaskRefs Unlisted;
+  for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
+    const TaskState &Task = At.Job->task(At.Task);
+    if (Task.Phase != wire::TASK_PLACED || Task.Worker.str() != Report.worker())
+      continue;
+    Free -= resourcesOf(At.Job->step(At.Task));
+    if (!Task.Listed && !Task.StopRequested)
+      Unlisted.push_back(At);
+  }
+  for (const TaskRef &At : Unlisted) {
+    if (!Free.isNegative())
+      return;
+    Free += resourcesOf(At.Job->step(At.Task));
+    stopMembers(At);
+    LOG4CPLUS_INFO(runLog(), LogFields("start withdrawn")
+                                 .add("task", toText(At.Job->name(At.Task)))
+                                 .add("run", At.Job->task(At.Task).Run)
+                                 .add("worker", Report.worker())
+                                 .add("why", "worker's capacity has shrunk"));
+  }
+}
+
 std::set<JobId> JobTracker::guaranteedJobs(const QueueConfig &Config) const {
   std::map<std::string, std::vector<const TaskJob *>> ByWorkspace;
   for (const auto &[Id, Job] : Jobs)
@@ -288,13 +335,16 @@
         if (MayStart(At))
           Unit.Tasks.push_back(At);
       if (Job.spec().steps(S).gang()) {
-        if (Unit.Tasks.size() == Count)
+        if (Unit.Tasks.size() == Count) {
+          isolate(Unit, Job, Now);
           Input.Units.push_back(std::move(Unit));
+        }
         continue;
       }
       for (std::size_t At : Unit.Tasks) {
         PlanUnit Single = Unit;
         Single.Tasks = {At};
+        isolate(Single, Job, Now);
         Input.Units.push_back(std::move(Single));
       }
     }
@@ -332,6 +382,7 @@
     Task.OrderedByAgent = Input.Workers[Start.Worker].AgentIncarnation;
     Task.Listed = false;
     Task.StopRequested = false;
+    Task.Lost = false;
     Job.Begun = true;
     Dirty.insert(Start.Job);
     LOG4CPLUS_INFO(
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -31,12 +31,6 @@
 /// Capacity of the order queue; a worker has a few dozen tasks at most.
 constexpr std::size_t MaxQueuedOrders = 1024;
 
-std::string incarnationName(const NodeId &Node,
-                            const WorkerHeartbeat &Heartbeat) {
-  return Node.str() + "/" + Heartbeat.Id + "#" +
-         std::to_string(Heartbeat.StartedAtMs);
-}
-
 } // namespace
 
 TaskAgent::TaskAgent(AgentSettings Settings, TransactionalStore &Kv,
@@ -67,75 +61,6 @@
       Thread.join();
 }
 
-void TaskAgent::onHeartbeat(const WorkerHeartbeat &Heartbeat) {
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Worker && (Heartbeat.StartedAtMs < Worker->StartedAtMs ||
-                 (Heartbeat.Id == Worker->Id &&
-                  Heartbeat.StartedAtMs == Worker->StartedAtMs &&
-                  Heartbeat.Sequence <= Worker->Sequence)))
-    return;
-  const bool StartsDraining =
-      Heartbeat.Draining && !(Worker && Worker->Draining);
-  const std::string Name = incarnationName(Settings.Node, Heartbeat);
-  const bool NewIncarnation = Name != WorkerName;
-  Worker = Heartbeat;
-  if (NewIncarnation) {
-    LOG4CPLUS_INFO(logOf("worker"),
-                   LogFields("worker announced")
-                       .add("worker", Name)
-                       .add("was", WorkerName)
-                       .add("address", Heartbeat.Address)
-                       .add("rack", Heartbeat.Rack)
-                       .add("accelerators", Heartbeat.Accelerators));
-    resetWorkerState();
-    WorkerName = Name;
-    Link = std::shared_ptr<WorkerLink>(Links(Heartbeat));
-  }
-  if (StartsDraining)
-    LOG4CPLUS_INFO(logOf("worker"),
-                   LogFields("worker is draining")
-                       .add("worker", Name)
-                       .add("remaining_ms", Heartbeat.Remaining.count()));
-  if (NewIncarnation || StartsDraining) {
-    ReportPending = true;
-    ReportNeeded.notify_all();
-    StateChanged.notify_all();
-  }
-}
-
-void TaskAgent::onWorkerLeft(const std::string &Id) {
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  if (!Worker || Worker->Id != Id)
-    return;
-  LOG4CPLUS_INFO(logOf("worker"),
-                 LogFields("worker left").add("worker", WorkerName));
-  departWorker();
-}
-
-void TaskAgent::departWorker() {
-  resetWorkerState();
-  Link.reset();
-  // The departed worker is reported as an incarnation without runs, so that the
-  // coordinator treats the runs of the last incarnation as ended.
-  Worker->Draining = true;
-  WorkerName =
-      Settings.Node.str() + "/none#" + std::to_string(++DepartedWorkers);
-  Listed = true;
-  ListedAt = BootInstant::max();
-  ReportPending = true;
-  ReportNeeded.notify_all();
-}
-
-void TaskAgent::resetWorkerState() {
-  Running.clear();
-  Ends.clear();
-  RunOrders.clear();
-  Orders.Clear();
-  Listed = false;
-  Liveness = WorkerLiveness();
-  WorkerClockAt = BootInstant{};
-}
-
 void TaskAgent::attendLoop() {
   for (;;) {
     Milliseconds Wait{0};
@@ -236,7 +161,15 @@
   Report.set_sequence(++Sequence);
   Report.set_wait_ms(static_cast<std::uint32_t>(Wait.count()));
   Report.set_orders_seen(Orders.revision());
-  Report.set_worker(WorkerName);
+  Report.set_worker(WorkerName.str());
+  Report.set_left_worker(LeftWorker.str());
+  Report.set_lost_worker(LostWorker.str());
+  Report.set_lost_runs_complete(AreLostRunsComplete);
+  for (const auto &[Task, Run] : LostRuns) {
+    wire::RunKey &Key = *Report.add_lost_runs();
+    Key.set_task(Task);
+    Key.set_run(Run);
+  }
   Report.set_complete(Listed && (ListedAt == BootInstant::max() ||
                                  Now - ListedAt < ListingTimeout));
   Report.set_lapsed(!Report.complete() && LeaseUntil != BootInstant{} &&
@@ -278,7 +211,7 @@
   // Leases that earlier agents of this worker gave end within one grant.
   if (LeaseUntil == BootInstant{})
     LeaseUntil = GrantedUntil;
-  if (NewOrders.worker() != WorkerName || WorkerName.empty() ||
+  if (NewOrders.worker() != WorkerName.str() || WorkerName.str().empty() ||
       NewOrders.revision() <= Orders.revision())
     return;
   Orders = NewOrders;
@@ -387,7 +320,7 @@
     LOG4CPLUS_WARN(logOf("worker"), LogFields("worker process has ended")
                                         .add("worker", WorkerName)
                                         .add("running", Running.size()));
-    departWorker();
+    departWorker(false);
   }
 }
 
@@ -443,7 +376,7 @@
 std::string TaskAgent::dump() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   auto Dump = makeDump();
-  Dump->set("worker", WorkerName);
+  Dump->set("worker", WorkerName.str());
   Dump->set("coordinator", Coordinator);
   Dump->set("epoch", Term.value());
   Dump->set("running", Running.size());
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -91,6 +91,10 @@
     Milliseconds total() const { return Reports + Plan + Write + Publish; }
   };
 
+  /// Whether the session's orders are for the worker of \p Report and its
+  /// capacity has not shrunk since.
+  static bool areOrdersFor(const WorkerSession &Session,
+                           const wire::TaskReport &Report);
   void run();
   void round();
   bool takeOver(const CoordinatorTerm &Term);
--- a/src/tasks/WorkerSession.h
+++ b/src/tasks/WorkerSession.h
@@ -3,6 +3,7 @@
 
 #include "baobabcove/Clock.h"
 #include "tasks.pb.h"
+#include "tasks/Resources.h"
 #include "tasks/TaskJob.h"
 
 #include <condition_variable>
@@ -27,6 +28,10 @@
   /// that it outlives the session.
   std::shared_ptr<std::condition_variable> OrdersChanged =
       std::make_shared<std::condition_variable>();
+  /// The worker's capacity in the last report that was processed, and the one
+  /// for which the orders were made.
+  Resources Capacity;
+  Resources OrdersCapacity;
 };
 
 } // namespace baobabcove
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -138,6 +138,8 @@
   std::mutex Mutex;
   wire::TaskOrders Orders;
   wire::TaskReport Last;
+  /// Whether reports that need not be answered at once are ignored.
+  std::atomic<bool> IgnoresPolls{false};
   std::unique_ptr<RpcServer> Coordinator;
   std::unique_ptr<TaskAgent> Agent;
 
@@ -151,6 +153,8 @@
                             [this](const wire::TaskReport &Report) {
                               std::this_thread::sleep_for(Milliseconds(10));
                               const std::lock_guard<std::mutex> Lock(Mutex);
+                              if (IgnoresPolls && Report.wait_ms() > 0)
+                                return Orders;
                               if (Report.sequence() > Last.sequence())
                                 Last = Report;
                               return Orders;
@@ -363,3 +367,68 @@
   }
   CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 2000; }));
 }
+
+// Pattern: a worker crashes under a task that was just started. The coordinator
+// must learn which runs may have caused it.
+TEST(TaskAgent, ReportsTheRunsOfACrashedWorker) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
+  LONGS_EQUAL(1, last().lost_runs_size());
+  STRCMP_EQUAL("j.0.0.0", last().lost_runs(0).task().c_str());
+  STRCMP_EQUAL("", last().left_worker().c_str());
+  // An earlier agent may have started more.
+  CHECK_FALSE(last().lost_runs_complete());
+  Agent->onHeartbeat(heartbeat(9, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#9"; }));
+  CHECK_TRUE(last().lost_runs_complete());
+}
+
+TEST(TaskAgent, ReportsThatAWorkerLeftInAnOrderlyWay) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  Agent->onWorkerLeft("i-1");
+  CHECK_TRUE(waitUntil([&] { return last().left_worker() == "n1/i-1#7"; }));
+  // The next incarnation replaces the absent worker, not a running one.
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().left_worker().c_str());
+}
+
+TEST(TaskAgent, ReportsTheEndOfADrainingWorkerAsOrderly) {
+  WorkerHeartbeat Draining = heartbeat(7, 2);
+  Draining.Draining = true;
+  Agent->onHeartbeat(Draining);
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().left_worker().c_str());
+}
+
+// Pattern: starts that are ordered after a crash, before it is certain, would
+// make their tasks look guilty.
+TEST(TaskAgent, SendsNoStartToAWorkerThatRefusesConnections) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Refuses = true;
+  }
+  CHECK_TRUE(waitUntil([&] {
+    return Stats.text().find("listing_failures") != std::string::npos;
+  }));
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  LONGS_EQUAL(0, Worker.Starts);
+  LONGS_EQUAL(0, last().lost_runs_size());
+}
+
+// Pattern: a worker's capacity shrinks; starts that the coordinator orders
+// until it knows would exceed it.
+TEST(TaskAgent, ReportsAChangedCapacityWithoutWaitingForThePoll) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  IgnoresPolls = true;
+  WorkerHeartbeat Shrunk = heartbeat(7, 2);
+  Shrunk.Accelerators = 3;
+  Agent->onHeartbeat(Shrunk);
+  CHECK_TRUE(waitUntil([&] { return last().accelerators() == 3; }));
+}
