Keep a cancellation that overtakes its job

A job whose cancellation was acknowledged could be placed and run to its end, found by reading the way of a cancellation.

The catalog passes jobs and cancellations on after it has unlocked, from the threads of callers and of the store follower. If the thread with a new job stalls there, another one can accept the job, store its cancellation and pass that on first. The tracker ignored a cancellation of a job that it did not know, and nothing repeated it until the next term. An overloaded coordinator, whose threads wait for processor time, is where that happens.

The tracker keeps such a cancellation until the job arrives.

--- a/src/tasks/JobTracker.cpp
+++ b/src/tasks/JobTracker.cpp
@@ -48,6 +48,7 @@
   RetryNotBefore.clear();
   AcknowledgedEnds.clear();
   DrainingWorkers.clear();
+  EarlyCancels.clear();
   UnflushedCheckpoints.clear();
   Reservations.clear();
 }
@@ -76,6 +77,8 @@
   WorkSums &Sums = QueueWork[Job->second.spec().queue()];
   ++Sums.Jobs;
   Sums.Sum += forecastOf(Job->second, 0, {}).Work;
+  if (EarlyCancels.erase(Id))
+    cancel(Id, {});
 }
 
 void JobTracker::restore(const JobId &Id, const wire::TaskJobProgress &Stored,
@@ -90,7 +93,11 @@
 
 void JobTracker::cancel(const JobId &Id, const ClockReading &) {
   const auto Found = Jobs.find(Id);
-  if (Found == Jobs.end() || Found->second.isOver())
+  if (Found == Jobs.end()) {
+    EarlyCancels.insert(Id);
+    return;
+  }
+  if (Found->second.isOver())
     return;
   TaskJob &Job = Found->second;
   Job.Cancelled = true;
--- a/src/tasks/JobTracker.h
+++ b/src/tasks/JobTracker.h
@@ -178,6 +178,8 @@
   std::set<JobId> Dirty;
   /// Jobs with checkpoints that have not been stored yet.
   std::set<JobId> UnflushedCheckpoints;
+  /// Cancellations that overtook their jobs, which arrive from other threads.
+  std::set<JobId> EarlyCancels;
   BootInstant CheckpointsFlushedAt{};
   /// Earliest time at which a refused task may be placed again, by task name.
   std::map<std::string, BootInstant> RetryNotBefore;
--- a/tests/tasks/JobTrackerTest.cpp
+++ b/tests/tasks/JobTrackerTest.cpp
@@ -228,6 +228,18 @@
   LONGS_EQUAL(1, Tracker.dirty().size());
 }
 
+// Pattern: one thread passes the job on while another one passes on its
+// cancellation. A cancellation that came first was lost for good.
+TEST(JobTracker, StartsNothingOfAJobThatItsCancellationOvertook) {
+  Tracker.cancel(JobId("j"), Now);
+  Tracker.addJob(jobOf("j", 3));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(0, Tracker.ordersFor(Report).starts_size());
+  Tracker.finishJobs(Now);
+  CHECK(JobStatus::Cancelled == job("j").status());
+}
+
 TEST(JobTracker, StopsTheRunsOfACancelledJobAndStartsNoMore) {
   Tracker.addJob(jobOf("j", 3));
   wire::TaskReport Report = reportOf("n1");
