Answer a held poll when the worker's capacity has grown

While a poll was held, a worker whose capacity grew again got no orders before the hold ended: neither starts nor, which is worse, the stops of a cancelled job.

A call is answered only with orders that were made for no more capacity than the worker has. It compared them with the capacity in its own report, which a later report had replaced. It now looks at the newest report of the worker, and a call that waited for smaller orders is woken when they are made.

The test failed before: the call was not answered.

--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -156,8 +156,9 @@
 
 bool TaskCoordinator::areOrdersFor(const WorkerSession &Session,
                                    const wire::TaskReport &Report) {
+  // A later report of the worker replaces the capacity of a held one.
   return Session.Orders.worker() == Report.worker() &&
-         !isLessInAnyPart(capacityOf(Report), Session.OrdersCapacity);
+         !isLessInAnyPart(capacityOf(Session.Report), Session.OrdersCapacity);
 }
 
 void TaskCoordinator::onRoleChange() {
@@ -438,6 +439,8 @@
   for (auto &[Node, Session] : Sessions) {
     if (Session.Report.node().empty())
       continue;
+    if (isLessInAnyPart(Session.Capacity, Session.OrdersCapacity))
+      Session.OrdersChanged->notify_all();
     Session.OrdersCapacity = Session.Capacity;
     wire::TaskOrders Orders = Tracker.ordersFor(Session.Report);
     std::string Serialized = Orders.SerializeAsString();
--- a/tests/tasks/TaskCoordinatorTest.cpp
+++ b/tests/tasks/TaskCoordinatorTest.cpp
@@ -238,3 +238,24 @@
   LONGS_EQUAL(0, attend().starts_size());
   CHECK_TRUE(waitUntil([&] { return attend().stops_size() == 1; }));
 }
+
+// Pattern: a worker's capacity grows while its agent's poll is held. Orders,
+// stops among them, did not go out before the end of the hold.
+TEST(TaskCoordinator, AnswersAHeldPollWhenTheCapacityHasGrown) {
+  wire::TaskReport Small = reportOf("n1", 1, LongWaitMs);
+  Small.set_accelerators(0);
+  const std::uint64_t Seen = Coordinator.attend(Small).revision();
+  std::atomic<int> Starts{0};
+  std::thread Call([&] {
+    Small.set_sequence(2);
+    Small.set_orders_seen(Seen);
+    Starts += Coordinator.attend(Small).starts_size();
+  });
+  CHECK_TRUE(waitUntil([&] { return counter("attend_calls") == 2; }));
+  (void)Coordinator.attend(reportOf("n1", 3, 0));
+  Coordinator.onJob(jobOf("job1"));
+  const bool IsAnswered = waitUntil([&] { return Starts == 1; });
+  Coordinator.stop();
+  Call.join();
+  CHECK_TRUE(IsAnswered);
+}
