Pause between listings while an end is not acknowledged

A worker answers a listing at once while it has ends that are not acknowledged, and the agent listed again without a pause until the coordinator got to it.

The agent now waits for the acknowledgement, for 50 ms at most, before it lists again.

--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -23,6 +23,8 @@
 /// Longest time that the worker may hold a listing without a new end.
 constexpr Milliseconds ListingWait{400};
 constexpr Milliseconds ListingRetryDelay{100};
+/// Longest wait for the acknowledgement of an end before the next listing.
+constexpr Milliseconds AcknowledgementWait{50};
 /// Runs are reported only if the last listing is younger than this.
 constexpr Milliseconds ListingTimeout{1500};
 /// Lowest rate of a worker's clock relative to real time; the platform allows
@@ -217,6 +219,7 @@
       NewOrders.revision() <= Orders.revision())
     return;
   Orders = NewOrders;
+  StateChanged.notify_all();
   queueOrders();
 }
 
@@ -266,10 +269,16 @@
       if (Stopping)
         return;
     }
-    if (!listRuns(ListingWait)) {
-      std::unique_lock<std::mutex> Lock(Mutex);
+    const bool IsListed = listRuns(ListingWait);
+    std::unique_lock<std::mutex> Lock(Mutex);
+    if (!IsListed)
       StateChanged.wait_for(Lock, ListingRetryDelay, [&] { return Stopping; });
-    }
+    // The worker answers at once while it has ends that are not acknowledged.
+    else
+      StateChanged.wait_for(Lock, AcknowledgementWait, [&] {
+        return Stopping || Ends.empty() ||
+               Ends.back().number() <= Orders.acknowledged_end();
+      });
   }
 }
 
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -53,6 +53,7 @@
   Milliseconds Deadline{0};
   std::set<RunId> Barred;
   int Starts = 0;
+  int Listings = 0;
   bool LosesStarts = false;
   /// Whether calls get no answer and have no effect.
   bool Silent = false;
@@ -106,6 +107,7 @@
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
     if (Worker.Silent || Worker.Refuses)
       return failure(ResultCode::OutcomeUnknown, "no answer");
+    ++Worker.Listings;
     Worker.Deadline = std::max(Worker.Deadline, Deadline);
     Worker.Acknowledged = std::max(Worker.Acknowledged, Acknowledged);
     WorkerRuns Runs;
@@ -446,3 +448,22 @@
   Agent->onHeartbeat(Shrunk);
   CHECK_TRUE(waitUntil([&] { return last().accelerators() == 3; }));
 }
+
+// Pattern: a slow coordinator acknowledges ends late, the worker answers each
+// listing at once, and its agent lists without a pause.
+TEST(TaskAgent, PausesBetweenListingsWhileAnEndIsNotAcknowledged) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  Worker.end("j.0.0.0", wire::RUN_DONE);
+  CHECK_TRUE(waitUntil([&] { return last().ends_size() == 1; }));
+  const auto Listings = [this] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Listings;
+  };
+  const int Before = Listings();
+  const Instant Begin = monotonicNow();
+  const std::uint64_t Sequence = last().sequence();
+  CHECK_TRUE(waitUntil([&] { return last().sequence() > Sequence + 2; }));
+  const int Listed = Listings() - Before;
+  CHECK(Listed <= (monotonicNow() - Begin) / Milliseconds(50) + 3);
+}
