Count a lease from the arrival of a held poll as well

A session whose first poll was still held had no lease, so that a run that was placed meanwhile expired at once and was placed again, if the store refused a write just then. And an answer that was delayed after the check of the role could have granted a lease past the end of the term.

The arrival of a call counts too, and the grant is timed before the role is checked. The test failed before: its run was started as the second one.

--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -117,6 +117,7 @@
   WorkerSession &Session = Sessions[Node];
   const BootInstant CalledAt = BootClock::now();
   Session.CalledAt = CalledAt;
+  Session.GrantedAt = std::max(Session.GrantedAt, CalledAt);
   const wire::TaskReport &Known = Session.Report;
   if (hasNews(Known, Report)) {
     HasWork = true;
@@ -136,14 +137,15 @@
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
             areOrdersFor(Sessions[Node], Report));
   });
+  // The grant counts from the answer, so that a held poll does not shorten it.
+  // Taken before the role is checked, so that it starts within the term.
+  const BootInstant Now = BootClock::now();
   const auto Term = Role->term();
   if (Stopping || !Term || !Role->isConfirmed())
     return NotCoordinating;
   wire::TaskOrders Reply;
   if (Serving == Term->Number && areOrdersFor(Sessions[Node], Report))
     Reply = Sessions[Node].Orders;
-  // The grant counts from the answer, so that a held poll does not shorten it.
-  const BootInstant Now = BootClock::now();
   Sessions[Node].GrantedAt = Now;
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
@@ -417,6 +419,7 @@
     case WriteOutcome::Written:
       break;
     case WriteOutcome::Retry:
+      Stats.count("progress_not_written");
       return false;
     case WriteOutcome::RoleLost:
       Role->lose(Term.Number);
--- a/tests/tasks/TaskCoordinatorTest.cpp
+++ b/tests/tasks/TaskCoordinatorTest.cpp
@@ -259,3 +259,21 @@
   Call.join();
   CHECK_TRUE(IsAnswered);
 }
+
+// Pattern: a run is placed while the first poll of its agent is held and the
+// store refuses the write. The session had no lease yet, so that the run was
+// taken for lost and placed again.
+TEST(TaskCoordinator, CountsALeaseFromTheArrivalOfAHeldPoll) {
+  Kv.setFault(FakeKv::Fault::Unavailable);
+  Coordinator.onJob(jobOf("job1"));
+  const std::uint64_t Rounds = counter("rounds");
+  CHECK_TRUE(waitUntil([&] { return counter("rounds") > Rounds + 1; }));
+  wire::TaskOrders Orders;
+  std::thread Call(
+      [&] { Orders = Coordinator.attend(reportOf("n1", 1, LongWaitMs)); });
+  CHECK_TRUE(waitUntil([&] { return counter("progress_not_written") > 2; }));
+  Kv.setFault(FakeKv::Fault::None);
+  Call.join();
+  LONGS_EQUAL(1, Orders.starts_size());
+  LONGS_EQUAL(1, Orders.starts(0).run());
+}
