Isolate only some of the units under suspicion at a time

After a crash of several workers at once, such as a loss of power, or of one worker with many small runs, jobs stayed with nothing running for up to 10 s while most of the cell was free, and guaranteed jobs waited behind them.

Each run on the crashed workers is blamed, and each unit under suspicion needed a worker of its own for the 2 s of its probation, so that they started one after the other and no other unit could join them.

Now isolated units take up a third of the reachable workers at most, but two. Those with the most crashes come first; a unit with a certain crash or with three of any kind is always isolated. The others start like any unit, only away from the nodes on which workers crashed under them, and a step with such a task is not taken for full when that task finds no place. Their crashes still count. So a deadly task starts at most three times beside others, and the two certain crashes that follow give it up at the fifth start at the latest.

RestartsEveryJobAtOnceAfterAPowerLoss and LeavesMostWorkersToOthersAfterACrashUnderManyRuns failed before (of 11 workers, 3 were left to other tasks of ordinary priority). The two tests with a deadly task among eight others passed before as well; they guard the bound against a deadly task that stays among the others.

--- a/src/tasks/CrashAttribution.cpp
+++ b/src/tasks/CrashAttribution.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <tuple>
 
 namespace baobabcove {
 
@@ -49,6 +50,18 @@
          Distinct.size() >= MinCertainNodes;
 }
 
+bool CrashHistory::requiresIsolation() const {
+  return !CertainNodes.empty() || crashes() >= MaxCrashes;
+}
+
+bool CrashHistory::outweighs(const CrashHistory &Other) const {
+  const auto Weight = [](const CrashHistory &History) {
+    return std::make_tuple(History.requiresIsolation(), History.crashes(),
+                           History.CertainNodes.size());
+  };
+  return Weight(*this) > Weight(Other);
+}
+
 std::vector<NodeId> CrashHistory::nodes() const {
   std::vector<NodeId> All = CertainNodes;
   All.insert(All.end(), PossibleNodes.begin(), PossibleNodes.end());
--- a/src/tasks/CrashAttribution.h
+++ b/src/tasks/CrashAttribution.h
@@ -45,6 +45,12 @@
   /// after two more.
   bool provesUnitDeadly() const;
 
+  /// Whether the next run needs a worker of its own in any case: a crash was
+  /// certain, or only certain ones are still missing to give the unit up.
+  bool requiresIsolation() const;
+  /// Whether this history incriminates its unit more than \p Other does.
+  bool outweighs(const CrashHistory &Other) const;
+
   bool empty() const {
     return CertainNodes.empty() && PossibleNodes.empty() && !Suspect;
   }
--- a/src/tasks/JobTracker.h
+++ b/src/tasks/JobTracker.h
@@ -135,8 +135,14 @@
   CrashHistory &crashesOf(TaskRef At) const;
   /// Ends the suspicion against a unit that has run for a while.
   void noteSurvival(TaskRef At);
+  /// Selects the units under suspicion that are isolated in this round. They
+  /// take up a share of the reachable workers at most, unless more of them must
+  /// be isolated.
+  void selectIsolatedUnits();
+  bool isIsolated(TaskRef At) const;
   /// Adds the constraints of a unit under suspicion.
-  void isolate(PlanUnit &Unit, TaskJob &Job, const ClockReading &Now) const;
+  void restrictSuspect(PlanUnit &Unit, TaskJob &Job,
+                       const ClockReading &Now) const;
   void applyEnd(const wire::RunEnd &End, TaskRef At, const ClockReading &Now);
   /// Marks a task as done although the reported run is not its newest. Once the
   /// end is acknowledged the task must not be started again.
@@ -192,6 +198,8 @@
       Reservations;
   /// Number of reachable workers at the last plan.
   std::size_t ReachableWorkers = 0;
+  /// Units that the last plan isolated, by their first task.
+  std::set<std::pair<JobId, std::size_t>> IsolatedUnits;
   DurationEstimator Durations;
   /// Number and total size of the jobs of a queue; the size is in core-seconds.
   struct WorkSums {
--- a/src/tasks/JobTrackerCrashes.cpp
+++ b/src/tasks/JobTrackerCrashes.cpp
@@ -13,6 +13,10 @@
 
 /// A unit under suspicion waits for a worker of its own for this long.
 constexpr Milliseconds MaxIsolationWait{1500};
+/// Isolated units take up at most one in this many workers, because a crash of
+/// several workers puts most units of the cell under suspicion.
+constexpr std::size_t WorkersPerIsolatedOne = 3;
+constexpr std::size_t MinIsolatedWorkers = 2;
 /// It avoids the nodes of earlier crashes for this long. Then it returns there,
 /// because the other workers may stay full.
 constexpr Milliseconds MaxAvoidance{3000};
@@ -197,18 +201,52 @@
                                .add("crashes", Crashes.crashes()));
 }
 
-void JobTracker::isolate(PlanUnit &Unit, TaskJob &Job,
-                         const ClockReading &Now) const {
-  const CrashHistory &Crashes = crashesOf({&Job, Unit.Tasks.front()});
-  if (!Crashes.isSuspect())
+void JobTracker::selectIsolatedUnits() {
+  TaskRefs Suspects;
+  for (auto &[Id, Job] : Jobs) {
+    if (Job.EndedMs)
+      continue;
+    for (std::size_t At = 0; At < Job.size(); ++At) {
+      const TaskState &Task = Job.task(At);
+      const bool IsActive = Task.Phase == wire::TASK_PLACED ||
+                            (Task.Phase == wire::TASK_WAITING && !Job.isOver());
+      if (Task.Crashes.isSuspect() && IsActive)
+        Suspects.push_back({&Job, At});
+    }
+  }
+  std::stable_sort(Suspects.begin(), Suspects.end(),
+                   [&](const TaskRef &L, const TaskRef &R) {
+                     return crashesOf(L).outweighs(crashesOf(R));
+                   });
+  const std::size_t MaxWorkers =
+      std::max(MinIsolatedWorkers, ReachableWorkers / WorkersPerIsolatedOne);
+  IsolatedUnits.clear();
+  std::size_t Taken = 0;
+  for (const TaskRef &At : Suspects) {
+    if (Taken >= MaxWorkers && !crashesOf(At).requiresIsolation())
+      return;
+    Taken += gangMembers(At).size();
+    IsolatedUnits.insert({At.Job->id(), At.Task});
+  }
+}
+
+bool JobTracker::isIsolated(TaskRef At) const {
+  return IsolatedUnits.count({At.Job->id(), At.Job->firstOfUnit(At.Task)}) > 0;
+}
+
+void JobTracker::restrictSuspect(PlanUnit &Unit, TaskJob &Job,
+                                 const ClockReading &Now) const {
+  const TaskRef At{&Job, Unit.Tasks.front()};
+  if (!crashesOf(At).isSuspect())
     return;
   BootInstant WaitingSince{};
   for (std::size_t Task : Unit.Tasks)
     WaitingSince = std::max(WaitingSince, Job.task(Task).WaitingSince);
-  Unit.Isolated = true;
-  Unit.MayShareWorker = Now.Boot - WaitingSince >= MaxIsolationWait;
+  Unit.Isolated = isIsolated(At);
+  Unit.MayShareWorker =
+      Unit.Isolated && Now.Boot - WaitingSince >= MaxIsolationWait;
   if (Now.Boot - WaitingSince < MaxAvoidance)
-    Unit.CrashNodes = Crashes.nodes();
+    Unit.CrashNodes = crashesOf(At).nodes();
 }
 
 } // namespace baobabcove
--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/JobTrackerPlanning.cpp
@@ -88,6 +88,7 @@
                           const QueueConfig &Config, const ClockReading &Now) {
   PlanInput Input;
   ReachableWorkers = Reports.size();
+  selectIsolatedUnits();
   std::map<WorkerIncarnation, std::size_t> Position;
   for (const wire::TaskReport &Report : Reports) {
     PlanWorker Worker;
@@ -120,7 +121,7 @@
       Worker.Free -= Usage;
       ++Worker.Runs;
       Worker.HasRunOnProbation |= Task.seenAlive() < Probation;
-      Worker.HasSuspect |= crashesOf({&Job, At}).isSuspect();
+      Worker.HasSuspect |= isIsolated({&Job, At});
       ++Input.OnWorker[{stepKey(Job.name(At)), WorkerIndex->second}];
       if (Task.StopRequested)
         Worker.Releasing += Usage;
@@ -336,7 +337,7 @@
           Unit.Tasks.push_back(At);
       if (Job.spec().steps(S).gang()) {
         if (Unit.Tasks.size() == Count) {
-          isolate(Unit, Job, Now);
+          restrictSuspect(Unit, Job, Now);
           Input.Units.push_back(std::move(Unit));
         }
         continue;
@@ -344,7 +345,7 @@
       for (std::size_t At : Unit.Tasks) {
         PlanUnit Single = Unit;
         Single.Tasks = {At};
-        isolate(Single, Job, Now);
+        restrictSuspect(Single, Job, Now);
         Input.Units.push_back(std::move(Single));
       }
     }
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/TaskPlanner.cpp
@@ -57,7 +57,7 @@
         reserveOrPreempt(Unit);
       else if (Unit.Isolated)
         keepClear(Unit);
-      else
+      else if (Unit.CrashNodes.empty())
         FullSteps.insert(Unit.StepKey);
     }
     return std::move(Out);
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/TaskPlanner.h
@@ -33,8 +33,8 @@
   std::uint32_t Runs = 0;
   /// Whether any of the runs has not survived its probation.
   bool HasRunOnProbation = false;
-  /// Whether a run of a unit under suspicion is on the worker, which gets no
-  /// other unit then.
+  /// Whether a run of an isolated unit is on the worker, which gets no other
+  /// unit then.
   bool HasSuspect = false;
 };
 
@@ -77,8 +77,8 @@
   /// Whether an isolated unit has waited for too long: it may start beside runs
   /// that have survived their probation, and away from its data.
   bool MayShareWorker = false;
-  /// Nodes that an isolated unit avoids if there are others, because workers
-  /// crashed under it there and may be faulty.
+  /// Nodes that a unit under suspicion avoids if there are others, because
+  /// workers crashed under it there and may be faulty.
   std::vector<NodeId> CrashNodes;
 };
 
--- a/tests/tasks/JobTrackerCrashTest.cpp
+++ b/tests/tasks/JobTrackerCrashTest.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr int RoundMs = 100;
+/// Runs on a worker that has crashed are barred there and may start elsewhere
+/// after this many rounds.
+constexpr int RequeueRounds = 4;
 
 struct CellWorker {
   std::string Node;
@@ -231,6 +234,22 @@
     CHECK_FALSE(job("j").progress().tasks(0).has_crashes());
   }
 
+  /// Starts a deadly task together with eight others on one of \p Count
+  /// workers.
+  void startADeadlyTaskAmongEight(int Count) {
+    addWorkers(Count);
+    addJob("good", 8).mutable_steps(0)->set_accelerators(0);
+    // Its place in the order of the jobs gives it no precedence.
+    addJob("unsafe").mutable_steps(0)->set_accelerators(0);
+    Deadly = {"unsafe.0.0.0"};
+    round();
+    LONGS_EQUAL(9, Starts.size());
+    LONGS_EQUAL(1, std::count_if(Workers.begin(), Workers.end(),
+                                 [](const CellWorker &Worker) {
+                                   return Worker.Incarnation > 1;
+                                 }));
+  }
+
   void checkGivenUp(const std::string &Id, const std::string &Task) {
     CHECK_TRUE(isFailed(Id));
     CHECK_TRUE(job(Id).EndedMs != 0);
@@ -446,3 +465,66 @@
   LONGS_EQUAL(9, Starts.size() - 1);
   LONGS_EQUAL(2, workerOf("j.0.0.0")->Running.size());
 }
+
+// Pattern: all machines lose power at once. Jobs waited for up to 10 s for
+// workers of their own, while most of the cell was free.
+TEST(JobTrackerCrash, RestartsEveryJobAtOnceAfterAPowerLoss) {
+  addWorkers(11);
+  Duration = 60;
+  for (int J = 0; J < 63; ++J)
+    addJob("j" + std::to_string(J));
+  rounds(5);
+  for (CellWorker &Worker : Workers)
+    Worker.restart();
+  addJob("new");
+  rounds(RequeueRounds + 2);
+  for (int J = 0; J < 63; ++J)
+    LONGS_EQUAL(2, Starts["j" + std::to_string(J) + ".0.0.0"]);
+  LONGS_EQUAL(1, Starts["new.0.0.0"]);
+  rounds(100);
+  for (int J = 0; J < 63; ++J)
+    CHECK_TRUE(isCompleted("j" + std::to_string(J)));
+}
+
+// Pattern: a worker with many small runs crashes. Each of them got a worker of
+// its own, and hardly any were left for other tasks.
+TEST(JobTrackerCrash, LeavesMostWorkersToOthersAfterACrashUnderManyRuns) {
+  addWorkers(11);
+  Duration = 1000;
+  addJob("small", 8);
+  rounds(3);
+  CellWorker *Crashed = workerOf("small.0.0.0");
+  CHECK_TRUE(Crashed != nullptr);
+  LONGS_EQUAL(8, Crashed->Running.size());
+  Crashed->restart();
+  rounds(RequeueRounds + 2);
+  for (int T = 0; T < 8; ++T)
+    LONGS_EQUAL(2, Starts["small.0.0." + std::to_string(T)]);
+  // Urgent, so that no worker is held back from it.
+  addJob("other", 88).set_priority(0);
+  rounds(2);
+  LONGS_EQUAL(8, std::count_if(Workers.begin(), Workers.end(),
+                               [](const CellWorker &Worker) {
+                                 const auto At = Worker.Running.begin();
+                                 return At != Worker.Running.end() &&
+                                        At->first.rfind("other.", 0) == 0;
+                               }));
+}
+
+// Pattern: a deadly task starts among many others, which are as suspect as it
+// is and share the few workers for isolated units with it.
+TEST(JobTrackerCrash, GivesUpADeadlyTaskAmongManyOthers) {
+  startADeadlyTaskAmongEight(11);
+  rounds(300);
+  checkGivenUp("unsafe", "unsafe.0.0.0");
+  CHECK_TRUE(isCompleted("good"));
+}
+
+// Pattern: the same in a small cell, where so few units are isolated at a time
+// that the deadly task may stay among the others for several starts.
+TEST(JobTrackerCrash, GivesUpADeadlyTaskAmongManyOthersInASmallCell) {
+  startADeadlyTaskAmongEight(4);
+  rounds(300);
+  checkGivenUp("unsafe", "unsafe.0.0.0");
+  CHECK_TRUE(isCompleted("good"));
+}
