--- a/src/scheduler/SchedulerCore.cpp
+++ b/src/scheduler/SchedulerCore.cpp
@@ -245,7 +245,8 @@
 void Scheduler::Core::gangEnded(const JobId &Id, Attempt Number,
                                 const GangEnd &End, Instant Now) {
   Job *Gang = findAttempt(Id, Number);
-  if (!Gang || Gang->Members.empty())
+  // The members of an adopted gang are empty while its workers are unknown.
+  if (!Gang || Gang->Phase == JobPhase::Queued)
     return;
   if (End.Result == GangResult::Succeeded) {
     RunTimes.addSample(Gang->Info, End.Progress);
@@ -296,10 +297,8 @@
   ++Gang.Failures;
   if (!End.FaultyWorker.empty())
     Gang.FailedOn.insert(End.FaultyWorker);
-  if (!Gang.Info.Idempotent && End.MayHaveRun) {
-    endJob(Gang, ResultCode::JobFailed,
-           "A task failed on " + End.FaultyWorker.str() +
-               "; a job that is not idempotent is not retried.");
+  if (const auto Reason = notRepeatable(Gang.Info.Idempotent, End)) {
+    endJob(Gang, Reason->Code, Reason->Detail);
     return;
   }
   if (Gang.FailedOn.size() >= MaxDistinctFailedWorkers ||
@@ -316,9 +315,8 @@
 }
 
 void Scheduler::Core::gangStopped(Job &Gang, const GangEnd &End, Instant Now) {
-  if (!Gang.Info.Idempotent && End.MayHaveRun && !End.Checkpointed) {
-    endJob(Gang, ResultCode::JobOutcomeUnknown,
-           "The job was stopped without a checkpoint after it had started.");
+  if (const auto Reason = notRepeatable(Gang.Info.Idempotent, End)) {
+    endJob(Gang, Reason->Code, Reason->Detail);
     return;
   }
   requeue(Gang, Now);
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-/// Longest time that the coordinator may hold a report without new orders, and
-/// therefore the report period of an idle worker.
-constexpr Milliseconds AttendWait{400};
+/// How long the coordinator may hold a poll without new orders, unless it says
+/// otherwise, and therefore the report period of an idle worker.
+constexpr Milliseconds DefaultPollWait{400};
+constexpr Milliseconds MaxPollWait{2000};
 /// Time beyond that wait before the call times out and the coordinator is
 /// looked up again.
 constexpr Milliseconds AttendTimeoutMargin{900};
@@ -36,7 +37,7 @@
                      LinkFactory Links, Metrics &Stats)
     : Settings(std::move(Settings)), Kv(Kv), Links(std::move(Links)),
       Stats(Stats), Incarnation(static_cast<std::uint64_t>(wallClockMs())),
-      Queue(MaxQueuedOrders) {}
+      PollWait(DefaultPollWait), Queue(MaxQueuedOrders) {}
 
 TaskAgent::~TaskAgent() { stop(); }
 
@@ -60,111 +61,14 @@
       Thread.join();
 }
 
-void TaskAgent::onHeartbeat(const WorkerHeartbeat &Heartbeat) {
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Worker && (Heartbeat.StartedAtMs < Worker->StartedAtMs ||
-                 (Heartbeat.Id == Worker->Id &&
-                  Heartbeat.StartedAtMs == Worker->StartedAtMs &&
-                  Heartbeat.Sequence <= Worker->Sequence)))
-    return;
-  const bool StartsDraining =
-      Heartbeat.Draining && !(Worker && Worker->Draining);
-  const WorkerIncarnation Name =
-      incarnationOf(Settings.Node, Heartbeat.Id, Heartbeat.StartedAtMs);
-  const bool NewIncarnation = Name != WorkerName;
-  const bool NewCapacity =
-      Worker && !(Heartbeat.MilliCores == Worker->MilliCores &&
-                  Heartbeat.MemoryMb == Worker->MemoryMb &&
-                  Heartbeat.Accelerators == Worker->Accelerators);
-  if (NewIncarnation && Worker)
-    noteEnd(false);
-  Worker = Heartbeat;
-  if (NewIncarnation) {
-    LOG4CPLUS_INFO(logOf("worker"),
-                   LogFields("worker announced")
-                       .add("worker", Name)
-                       .add("was", WorkerName)
-                       .add("address", Heartbeat.Address)
-                       .add("rack", Heartbeat.Rack)
-                       .add("accelerators", Heartbeat.Accelerators));
-    resetWorkerState();
-    IsSoleAgent = !WorkerName.str().empty();
-    WorkerName = Name;
-    Link = std::shared_ptr<WorkerLink>(Links(Heartbeat));
-  }
-  if (StartsDraining)
-    LOG4CPLUS_INFO(logOf("worker"),
-                   LogFields("worker is draining")
-                       .add("worker", Name)
-                       .add("remaining_ms", Heartbeat.Remaining.count()));
-  if (NewCapacity)
-    LOG4CPLUS_INFO(logOf("worker"),
-                   LogFields("worker's capacity changed")
-                       .add("worker", Name)
-                       .add("milli_cores", Heartbeat.MilliCores)
-                       .add("memory_mb", Heartbeat.MemoryMb)
-                       .add("accelerators", Heartbeat.Accelerators));
-  if (NewIncarnation || StartsDraining || NewCapacity) {
-    ReportPending = true;
-    ReportNeeded.notify_all();
-    StateChanged.notify_all();
-  }
-}
-
-void TaskAgent::onWorkerLeft(const std::string &Id) {
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  if (!Worker || Worker->Id != Id)
-    return;
-  LOG4CPLUS_INFO(logOf("worker"),
-                 LogFields("worker left").add("worker", WorkerName));
-  departWorker(true);
-}
-
-void TaskAgent::noteEnd(bool Announced) {
-  if (isDeparted(WorkerName))
-    return;
-  if (Announced || Worker->Draining)
-    LeftWorker = WorkerName;
-  LostWorker = Listed || IsSoleAgent ? WorkerName : WorkerIncarnation();
-  AreLostRunsComplete = IsSoleAgent;
-  LostRuns = StartsSent;
-  for (const wire::RunStatus &Run : Running)
-    LostRuns.insert({Run.task(), Run.run()});
-  for (const wire::RunEnd &End : Ends)
-    LostRuns.erase({End.task(), End.run()});
-}
-
-void TaskAgent::departWorker(bool Announced) {
-  noteEnd(Announced);
-  resetWorkerState();
-  Link.reset();
-  // The departed worker is reported as an incarnation without runs, so that the
-  // coordinator treats the runs of the last incarnation as ended.
-  Worker->Draining = true;
-  WorkerName = departedIncarnation(Settings.Node, ++DepartedWorkers);
-  Listed = true;
-  ListedAt = BootInstant::max();
-  ReportPending = true;
-  ReportNeeded.notify_all();
-}
-
-void TaskAgent::resetWorkerState() {
-  Running.clear();
-  Ends.clear();
-  RunOrders.clear();
-  StartsSent.clear();
-  Orders.Clear();
-  Listed = false;
-  Liveness = WorkerLiveness();
-  WorkerClockAt = BootInstant{};
-}
-
 void TaskAgent::attendLoop() {
   for (;;) {
+    Milliseconds Wait{0};
     {
       std::unique_lock<std::mutex> Lock(Mutex);
       if (Stopping)
         return;
+      Wait = PollWait;
       if (Coordinator.empty()) {
         Lock.unlock();
         const bool Found = findCoordinator();
@@ -176,7 +80,7 @@
         }
       }
     }
-    if (!exchange(AttendWait)) {
+    if (!exchange(Wait)) {
       std::unique_lock<std::mutex> Lock(Mutex);
       StateChanged.wait_for(Lock, CoordinatorSearchDelay,
                             [&] { return Stopping; });
@@ -244,6 +148,7 @@
                              : Answer.error().Detail));
   Peers.forget(Address);
   Coordinator.clear();
+  PollWait = DefaultPollWait;
   return false;
 }
 
@@ -299,6 +204,8 @@
     Term = Epoch(NewOrders.epoch());
     StateChanged.notify_all();
   }
+  if (NewOrders.poll_ms())
+    PollWait = std::min(Milliseconds(NewOrders.poll_ms()), MaxPollWait);
   GrantedUntil =
       std::max(GrantedUntil, SentAt + Milliseconds(NewOrders.grant_ms()));
   // Leases that earlier agents of this worker gave end within one grant.
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -21,9 +21,12 @@
 constexpr std::chrono::microseconds MaxPause{50000};
 /// Delay between attempts to read the store after the role was acquired.
 constexpr Milliseconds TakeoverRetryDelay{150};
-/// A worker whose agent has not reported for this long gets no new task; a
-/// reachable agent reports twice a second.
-constexpr Milliseconds ReportTimeout{1500};
+/// Polls that one core answers in a second beside the rounds.
+constexpr double PollsPerCore = 360;
+constexpr Milliseconds MinPollInterval{400};
+constexpr Milliseconds MaxPollInterval{2000};
+/// A worker gets no new task if its agent's poll is overdue by this.
+constexpr Milliseconds ReportMargin{1100};
 /// Lowest rate of a worker's clock relative to real time (the platform allows
 /// clocks that are 2 % slow), and the time that a worker takes to end runs
 /// whose lease expired.
@@ -32,11 +35,39 @@
 /// Ended jobs are removed this long after the end of their retention period.
 constexpr Milliseconds RemovalMargin{30000};
 
+/// A round that takes longer is logged, at most once in this period.
+constexpr Milliseconds SlowRound{250};
+constexpr Milliseconds SlowRoundLogPeriod{1000};
+
 /// Order revisions of each term start above those of all earlier terms.
 constexpr std::uint64_t RevisionsPerTerm = 1000000;
 
 ClockReading readClocks() { return {BootClock::now(), wallClockMs()}; }
 
+/// Whether a report calls for a round at once. An agent sends its news without
+/// a wait; its polls repeat them and are applied by the next periodic round.
+bool hasNews(const wire::TaskReport &Known, const wire::TaskReport &Report) {
+  return Report.wait_ms() == 0 || Known.agent_life() != Report.agent_life() ||
+         Known.worker() != Report.worker() ||
+         Known.complete() != Report.complete() ||
+         Known.lapsed() != Report.lapsed();
+}
+
+/// Measures consecutive parts of a piece of work.
+class LapTimer {
+public:
+  /// Returns the time since the last call or the construction.
+  Milliseconds lap() {
+    const BootInstant Now = BootClock::now();
+    const Milliseconds Lap = Now - Last;
+    Last = Now;
+    return Lap;
+  }
+
+private:
+  BootInstant Last = BootClock::now();
+};
+
 } // namespace
 
 std::chrono::microseconds pauseAfterRound(std::size_t Workers) {
@@ -44,6 +75,13 @@
                   MaxPause);
 }
 
+Milliseconds pollInterval(std::size_t Agents, double CpuShare) {
+  const double IntervalMs = 1000 * double(Agents) / (PollsPerCore * CpuShare);
+  return Milliseconds(static_cast<std::int64_t>(
+      std::clamp(IntervalMs, double(MinPollInterval.count()),
+                 double(MaxPollInterval.count()))));
+}
+
 TaskCoordinator::TaskCoordinator(TransactionalStore &Kv,
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
@@ -61,14 +99,15 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Stopping = true;
+    notifyAllSessions();
   }
   Wake.notify_all();
-  OrdersChanged.notify_all();
   if (Thread.joinable())
     Thread.join();
 }
 
 wire::TaskOrders TaskCoordinator::attend(const wire::TaskReport &Report) {
+  Stats.count("attend_calls");
   const NodeId Node(Report.node());
   const Instant Until = monotonicNow() + Milliseconds(Report.wait_ms());
   std::unique_lock<std::mutex> Lock(Mutex);
@@ -78,15 +117,19 @@
   WorkerSession &Session = Sessions[Node];
   Session.GrantedAt = BootClock::now();
   const wire::TaskReport &Known = Session.Report;
+  if (hasNews(Known, Report)) {
+    HasWork = true;
+    Wake.notify_all();
+  }
   if (Known.agent_life() < Report.agent_life() ||
       (Known.agent_life() == Report.agent_life() &&
        Known.sequence() < Report.sequence())) {
     Session.Report = Report;
     Session.HasNewReport = true;
-    HasWork = true;
-    Wake.notify_all();
   }
-  OrdersChanged.wait_until(Lock, Until, [&] {
+  const auto OrdersChanged = Session.OrdersChanged;
+  OrdersChanged->wait_until(Lock, Until, [&] {
+    Stats.count("attend_wakeups");
     return Stopping ||
            (Serving != Epoch() &&
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
@@ -101,6 +144,8 @@
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
   Reply.set_grant_ms(static_cast<std::uint32_t>(Settings.Grant.count()));
+  Reply.set_poll_ms(static_cast<std::uint32_t>(
+      pollInterval(Sessions.size(), Settings.CpuShare).count()));
   return Reply;
 }
 
@@ -129,7 +174,7 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (Current == Epoch())
     return;
-  Incoming.Cancels.push_back(Id);
+  Incoming.Cancels.push_back({Id, BootClock::now()});
   HasWork = true;
   Wake.notify_all();
 }
@@ -165,16 +210,50 @@
   }
   if (!Role->isConfirmed())
     return;
+  RoundTimes Times;
+  LapTimer Timer;
   // Earlier decisions must be in the store before new ones are made.
   if (!Tracker.dirty().empty() && !persist(*Term))
     return;
+  Times.Write = Timer.lap();
   const BootInstant Now = BootClock::now();
   Stats.count("rounds");
   drainInbox();
   applyReports(Now);
+  Times.Reports = Timer.lap();
   decide(Now);
-  if (persist(*Term))
+  Times.Plan = Timer.lap();
+  const bool IsWritten = persist(*Term);
+  Times.Write += Timer.lap();
+  if (IsWritten) {
     publish();
+    recordPublishedCancels();
+  }
+  Times.Publish = Timer.lap();
+  recordRound(Times, Now);
+}
+
+void TaskCoordinator::recordRound(const RoundTimes &Times, BootInstant Now) {
+  const Milliseconds Total = Times.total();
+  Stats.sample("round_ms", double(Total.count()));
+  if (Total < SlowRound || Now - SlowRoundLoggedAt < SlowRoundLogPeriod)
+    return;
+  SlowRoundLoggedAt = Now;
+  std::size_t Agents = 0;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Agents = Sessions.size();
+  }
+  LOG4CPLUS_WARN(logOf("coordinator"),
+                 LogFields("slow round")
+                     .add("epoch", Current)
+                     .add("total_ms", Total.count())
+                     .add("reports_ms", Times.Reports.count())
+                     .add("plan_ms", Times.Plan.count())
+                     .add("write_ms", Times.Write.count())
+                     .add("publish_ms", Times.Publish.count())
+                     .add("jobs", Tracker.jobs().size())
+                     .add("agents", Agents));
 }
 
 bool TaskCoordinator::takeOver(const CoordinatorTerm &Term) {
@@ -191,6 +270,7 @@
   }
   const ClockReading Now = readClocks();
   Tracker.clear();
+  UnpublishedCancels.clear();
   for (const StoreItem &Item : All->Items) {
     auto Spec = std::make_shared<wire::TaskJobSpec>();
     if (Item.Key.rfind(keys::Jobs, 0) == 0 && Spec->ParseFromString(Item.Value))
@@ -237,9 +317,15 @@
   Current = Epoch();
   Serving = Epoch();
   Tracker.clear();
+  UnpublishedCancels.clear();
   Incoming = Inbox();
+  notifyAllSessions();
   Sessions.clear();
-  OrdersChanged.notify_all();
+}
+
+void TaskCoordinator::notifyAllSessions() {
+  for (const auto &[Node, Session] : Sessions)
+    Session.OrdersChanged->notify_all();
 }
 
 void TaskCoordinator::drainInbox() {
@@ -250,8 +336,22 @@
   }
   for (auto &Spec : Received.Jobs)
     Tracker.addJob(std::move(Spec));
-  for (const JobId &Id : Received.Cancels)
-    Tracker.cancel(Id, readClocks());
+  for (const ReceivedCancel &Cancel : Received.Cancels) {
+    Tracker.cancel(Cancel.Job, readClocks());
+    UnpublishedCancels.push_back(Cancel);
+  }
+}
+
+void TaskCoordinator::recordPublishedCancels() {
+  const BootInstant Now = BootClock::now();
+  for (const ReceivedCancel &Cancel : UnpublishedCancels) {
+    const Milliseconds Waited = Now - Cancel.At;
+    Stats.sample("cancel_publish_ms", double(Waited.count()));
+    LOG4CPLUS_INFO(logOf("jobs"), LogFields("cancellation published")
+                                      .add("job", Cancel.Job)
+                                      .add("waited_ms", Waited.count()));
+  }
+  UnpublishedCancels.clear();
 }
 
 void TaskCoordinator::applyReports(BootInstant Now) {
@@ -290,6 +390,8 @@
   std::vector<wire::TaskReport> Reachable;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    const Milliseconds ReportTimeout =
+        pollInterval(Sessions.size(), Settings.CpuShare) + ReportMargin;
     for (const auto &[Node, Session] : Sessions)
       if (Session.Report.complete() && Now - Session.GrantedAt < ReportTimeout)
         Reachable.push_back(Session.Report);
@@ -328,7 +430,6 @@
 
 void TaskCoordinator::publish() {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  bool Changed = false;
   for (auto &[Node, Session] : Sessions) {
     if (Session.Report.node().empty())
       continue;
@@ -342,10 +443,8 @@
     Orders.set_revision(Last + 1);
     Session.Orders = std::move(Orders);
     Session.PublishedOrders = std::move(Serialized);
-    Changed = true;
+    Session.OrdersChanged->notify_all();
   }
-  if (Changed)
-    OrdersChanged.notify_all();
 }
 
 std::string TaskCoordinator::dump() const {
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -30,11 +30,17 @@
   Milliseconds StatusRetention{120000};
   /// Factor by which work away from its data takes longer.
   double RemotePenalty = 3;
+  /// Share of a core that this process may use.
+  double CpuShare = 1;
 };
 
 /// Returns how long the coordinator of \p Workers workers pauses after a round.
 std::chrono::microseconds pauseAfterRound(std::size_t Workers);
 
+/// Returns how long the coordinator holds the poll of each of \p Agents agents
+/// if it may use \p CpuShare of a core. News and orders do not wait for polls.
+Milliseconds pollInterval(std::size_t Agents, double CpuShare);
+
 /// Schedules all jobs while this process holds the coordinator role. One thread
 /// processes reports, jobs and cancellations, plans, stores the result and only
 /// then publishes orders. Reports are answered from the threads of their
@@ -65,10 +71,24 @@
   std::string dump() const;
 
 private:
+  struct ReceivedCancel {
+    JobId Job;
+    BootInstant At;
+  };
+
   /// Input received since the last round.
   struct Inbox {
     std::vector<std::shared_ptr<const wire::TaskJobSpec>> Jobs;
-    std::vector<JobId> Cancels;
+    std::vector<ReceivedCancel> Cancels;
+  };
+
+  /// How long the parts of a round took.
+  struct RoundTimes {
+    Milliseconds Reports{0};
+    Milliseconds Plan{0};
+    Milliseconds Write{0};
+    Milliseconds Publish{0};
+    Milliseconds total() const { return Reports + Plan + Write + Publish; }
   };
 
   /// Whether the session's orders are for the worker of \p Report and its
@@ -84,6 +104,10 @@
   void decide(BootInstant Now);
   bool persist(const CoordinatorTerm &Term);
   void publish();
+  void recordRound(const RoundTimes &Times, BootInstant Now);
+  void recordPublishedCancels();
+  /// Ends the waits of all agents. The mutex must be locked.
+  void notifyAllSessions();
 
   TransactionalStore &Kv;
   const CoordinatorSettings Settings;
@@ -94,7 +118,6 @@
 
   mutable std::mutex Mutex;
   std::condition_variable Wake;
-  std::condition_variable OrdersChanged;
   bool Stopping = false;
   bool HasWork = false;
   Inbox Incoming;
@@ -106,6 +129,9 @@
   Epoch Current;
   JobTracker Tracker;
   ProgressWriter Writer;
+  /// Cancellations whose stops have not been published.
+  std::vector<ReceivedCancel> UnpublishedCancels;
+  BootInstant SlowRoundLoggedAt;
   std::thread Thread;
 };
 
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -354,6 +354,20 @@
   STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
 }
 
+TEST(TaskAgent, PollsAsOftenAsTheCoordinatorAsks) {
+  CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 400; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_poll_ms(700);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 700; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_poll_ms(60000);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().wait_ms() == 2000; }));
+}
+
 // Pattern: a worker crashes under a task that was just started. The coordinator
 // must learn which runs may have caused it.
 TEST(TaskAgent, ReportsTheRunsOfACrashedWorker) {
