Give a job up only for crashes under runs that had started

A job without a deadly task could be given up after one real crash under it, and be shown as failed without cause.

A crash counted as certain for a run whose start had been sent, though it was never answered or carried out, or whose end the agent had seen and not reported. Two such crashes and a shared one gave the job up.

A crash is certain now only if the coordinator had seen the run listed, which includes an answered start, and the agent does not know its end. Without a third certain crash the fifth crash decides, as before, so that a deadly task has at most five starts; the sixth breaks the rule. The two checks that took two certain crashes for proof now ask for the third.

The model's test of completed jobs had been loosened: it took a job that was given up for a complete one, also in runs without deadly tasks. It no longer does.

--- a/src/tasks/CrashAttribution.cpp
+++ b/src/tasks/CrashAttribution.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-/// A unit is given up at this number of crashes, of which some are certain.
-constexpr std::size_t MaxCrashes = 3;
-constexpr std::size_t MinCertainCrashes = 2;
+/// A unit is given up at this number of certain crashes.
+constexpr std::size_t MaxCertainCrashes = 3;
 constexpr std::size_t MinCertainNodes = 2;
+/// A unit with this number of crashes of any kind is always isolated.
+constexpr std::size_t MaxCrashesBesideOthers = 3;
 /// Without such certainty, a unit is given up at this number, of which some had
 /// no other candidate.
 constexpr std::size_t MaxUncertainCrashes = 5;
@@ -46,12 +47,12 @@
   if (crashes() >= MaxUncertainCrashes && Alone >= MinCrashesAlone)
     return true;
   const std::set<NodeId> Distinct(CertainNodes.begin(), CertainNodes.end());
-  return crashes() >= MaxCrashes && CertainNodes.size() >= MinCertainCrashes &&
+  return CertainNodes.size() >= MaxCertainCrashes &&
          Distinct.size() >= MinCertainNodes;
 }
 
 bool CrashHistory::requiresIsolation() const {
-  return !CertainNodes.empty() || crashes() >= MaxCrashes;
+  return !CertainNodes.empty() || crashes() >= MaxCrashesBesideOthers;
 }
 
 bool CrashHistory::outweighs(const CrashHistory &Other) const {
--- a/src/tasks/JobTrackerCrashes.cpp
+++ b/src/tasks/JobTrackerCrashes.cpp
@@ -112,10 +112,13 @@
   std::vector<CrashCandidate> Candidates;
   for (const TaskRef &At : Runs) {
     const TaskState &Task = At.Job->task(At.Task);
-    const bool HasStarted =
-        Task.Listed || Lost.contain(toText(At.Job->name(At.Task)), Task.Run);
+    const bool IsAmongLost =
+        Lost.contain(toText(At.Job->name(At.Task)), Task.Run);
+    // The agent also names runs whose start was sent but not answered, and does
+    // not name those that have ended.
+    const bool HasStarted = Task.Listed && (IsAmongLost || !Lost.areKnown());
     // An earlier agent may have sent starts that this one does not know.
-    const bool MayHaveStarted = HasStarted || !Lost.areKnown() ||
+    const bool MayHaveStarted = IsAmongLost || !Lost.areKnown() ||
                                 (!Report.lost_runs_complete() &&
                                  Task.OrderedByAgent != Report.agent_life());
     if (Task.Lost || !MayHaveStarted)
--- a/tests/tasks/CrashAttributionTest.cpp
+++ b/tests/tasks/CrashAttributionTest.cpp
@@ -53,13 +53,26 @@
   CHECK_TRUE(attributeCrash({{0, Milliseconds(10000), true}}).Units.empty());
 }
 
-TEST(CrashAttribution, ProvesAUnitDeadlyByThreeCrashesOnSeveralNodes) {
+// Pattern: two workers crash by chance under a task whose run had ended there
+// unnoticed, and a third one with its neighbour. The job was given up.
+TEST(CrashAttribution, ProvesAUnitDeadlyByThreeCertainCrashesOnSeveralNodes) {
   CHECK_FALSE(historyOf({{Blame::Certain, "n1"}, {Blame::Certain, "n2"}})
                   .provesUnitDeadly());
-  CHECK_TRUE(historyOf({{Blame::Shared, "n1"},
+  CHECK_FALSE(historyOf({{Blame::Shared, "n1"},
+                         {Blame::Certain, "n2"},
+                         {Blame::Certain, "n3"}})
+                  .provesUnitDeadly());
+  CHECK_TRUE(historyOf({{Blame::Certain, "n1"},
                         {Blame::Certain, "n2"},
                         {Blame::Certain, "n3"}})
                  .provesUnitDeadly());
+  // Without a third certain crash, the fifth start is the last.
+  CHECK_TRUE(historyOf({{Blame::Shared, "n1"},
+                        {Blame::Shared, "n2"},
+                        {Blame::Shared, "n3"},
+                        {Blame::Certain, "n4"},
+                        {Blame::Certain, "n5"}})
+                 .provesUnitDeadly());
 }
 
 TEST(CrashAttribution, NeverProvesAUnitDeadlyBySharedCrashes) {
@@ -109,6 +122,8 @@
   CrashHistory Next = History;
   CHECK_FALSE(Next.record(Blame::Certain, NodeId("n3"), 2));
   Next.record(Blame::Certain, NodeId("n3"), 3);
+  CHECK_FALSE(Next.provesUnitDeadly());
+  Next.record(Blame::Certain, NodeId("n3"), 4);
   CHECK_TRUE(Next.provesUnitDeadly());
 }
 
--- a/tests/tasks/TaskModelTest.cpp
+++ b/tests/tasks/TaskModelTest.cpp
@@ -141,7 +141,7 @@
       step();
       bool Done = true;
       for (const auto &[Id, Job] : Tracker.jobs())
-        Done = Done && (Job.Failed || Job.areAllDone());
+        Done = Done && ((Job.Failed && !Deadly.empty()) || Job.areAllDone());
       if (Done)
         return true;
     }
