Split the coordinator's exchange with agents into a file

The code is moved, not changed, but for firstRevision(), which replaces the same product in two places.

--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/TaskCoordinator.cpp
@@ -14,17 +14,13 @@
 /// Longest time between rounds; due times, waits and leases are checked this
 /// often.
 constexpr Milliseconds RoundPeriod{100};
-/// Pause after each round, for each worker. Every report asks for a round, and
-/// a round looks at every worker; without a pause the work would grow with
-/// their product. Reports that arrive meanwhile share the next round.
+/// Pause after each round, for each worker. Every report with news asks for a
+/// round, and a round looks at every worker; without a pause the work would
+/// grow with their product. Reports that arrive meanwhile share the next round.
 constexpr std::chrono::microseconds PausePerWorker{100};
 constexpr std::chrono::microseconds MaxPause{50000};
 /// Delay between attempts to read the store after the role was acquired.
 constexpr Milliseconds TakeoverRetryDelay{150};
-/// Polls that one core answers in a second beside the rounds.
-constexpr double PollsPerCore = 360;
-constexpr Milliseconds MinPollInterval{400};
-constexpr Milliseconds MaxPollInterval{1000};
 /// A worker gets no new task if its agent's poll is overdue by this.
 constexpr Milliseconds ReportMargin{1100};
 /// Lowest rate of a worker's clock relative to real time (the platform allows
@@ -39,20 +35,8 @@
 constexpr Milliseconds SlowRound{250};
 constexpr Milliseconds SlowRoundLogPeriod{1000};
 
-/// Order revisions of each term start above those of all earlier terms.
-constexpr std::uint64_t RevisionsPerTerm = 1000000;
-
 ClockReading readClocks() { return {BootClock::now(), wallClockMs()}; }
 
-/// Whether a report calls for a round at once. An agent sends its news without
-/// a wait; its polls repeat them and are applied by the next periodic round.
-bool hasNews(const wire::TaskReport &Known, const wire::TaskReport &Report) {
-  return Report.wait_ms() == 0 || Known.agent_life() != Report.agent_life() ||
-         Known.worker() != Report.worker() ||
-         Known.complete() != Report.complete() ||
-         Known.lapsed() != Report.lapsed();
-}
-
 /// Measures consecutive parts of a piece of work.
 class LapTimer {
 public:
@@ -75,13 +59,6 @@
                   MaxPause);
 }
 
-Milliseconds pollInterval(std::size_t Agents, double CpuShare) {
-  const double IntervalMs = 1000 * double(Agents) / (PollsPerCore * CpuShare);
-  return Milliseconds(static_cast<std::int64_t>(
-      std::clamp(IntervalMs, double(MinPollInterval.count()),
-                 double(MaxPollInterval.count()))));
-}
-
 TaskCoordinator::TaskCoordinator(TransactionalStore &Kv,
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
@@ -106,63 +83,6 @@
     Thread.join();
 }
 
-wire::TaskOrders TaskCoordinator::attend(const wire::TaskReport &Report) {
-  Stats.count("attend_calls");
-  const NodeId Node(Report.node());
-  const Instant Until = monotonicNow() + Milliseconds(Report.wait_ms());
-  std::unique_lock<std::mutex> Lock(Mutex);
-  wire::TaskOrders NotCoordinating;
-  if (Stopping || !Role || !Role->term() || !Role->isConfirmed())
-    return NotCoordinating;
-  WorkerSession &Session = Sessions[Node];
-  const BootInstant CalledAt = BootClock::now();
-  Session.CalledAt = CalledAt;
-  Session.GrantedAt = std::max(Session.GrantedAt, CalledAt);
-  const wire::TaskReport &Known = Session.Report;
-  if (hasNews(Known, Report)) {
-    HasWork = true;
-    Wake.notify_all();
-  }
-  if (Known.agent_life() < Report.agent_life() ||
-      (Known.agent_life() == Report.agent_life() &&
-       Known.sequence() < Report.sequence())) {
-    Session.Report = Report;
-    Session.HasNewReport = true;
-  }
-  const auto OrdersChanged = Session.OrdersChanged;
-  OrdersChanged->wait_until(Lock, Until, [&] {
-    Stats.count("attend_wakeups");
-    return Stopping || !Role->term() ||
-           (Serving != Epoch() &&
-            Sessions[Node].Orders.revision() != Report.orders_seen() &&
-            areOrdersFor(Sessions[Node], Report));
-  });
-  // The grant counts from the answer, so that a held poll does not shorten it.
-  // Taken before the role is checked, so that it starts within the term.
-  const BootInstant Now = BootClock::now();
-  const auto Term = Role->term();
-  if (Stopping || !Term || !Role->isConfirmed())
-    return NotCoordinating;
-  wire::TaskOrders Reply;
-  if (Serving == Term->Number && areOrdersFor(Sessions[Node], Report))
-    Reply = Sessions[Node].Orders;
-  Sessions[Node].GrantedAt = Now;
-  Reply.set_coordinating(true);
-  Reply.set_epoch(Term->Number.value());
-  Reply.set_grant_ms(static_cast<std::uint32_t>(Settings.Grant.count()));
-  Reply.set_held_ms(static_cast<std::uint32_t>((Now - CalledAt).count()));
-  Reply.set_poll_ms(static_cast<std::uint32_t>(
-      pollInterval(Sessions.size(), Settings.CpuShare).count()));
-  return Reply;
-}
-
-bool TaskCoordinator::areOrdersFor(const WorkerSession &Session,
-                                   const wire::TaskReport &Report) {
-  // A later report of the worker replaces the capacity of a held one.
-  return Session.Orders.worker() == Report.worker() &&
-         !isLessInAnyPart(capacityOf(Session.Report), Session.OrdersCapacity);
-}
-
 void TaskCoordinator::onRoleChange() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   HasWork = true;
@@ -304,7 +224,7 @@
       Session.Orders.Clear();
       Session.PublishedOrders.clear();
       // Agents recognize the newest orders by this number across all terms.
-      Session.Orders.set_revision(Term.Number.value() * RevisionsPerTerm);
+      Session.Orders.set_revision(firstRevision(Term.Number));
     }
     Known = Sessions.size();
     Serving = Term.Number;
@@ -331,11 +251,6 @@
   Sessions.clear();
 }
 
-void TaskCoordinator::notifyAllSessions() {
-  for (const auto &[Node, Session] : Sessions)
-    Session.OrdersChanged->notify_all();
-}
-
 void TaskCoordinator::drainInbox() {
   Inbox Received;
   {
@@ -437,27 +352,6 @@
   return true;
 }
 
-void TaskCoordinator::publish() {
-  const std::lock_guard<std::mutex> Lock(Mutex);
-  for (auto &[Node, Session] : Sessions) {
-    if (Session.Report.node().empty())
-      continue;
-    if (isLessInAnyPart(Session.Capacity, Session.OrdersCapacity))
-      Session.OrdersChanged->notify_all();
-    Session.OrdersCapacity = Session.Capacity;
-    wire::TaskOrders Orders = Tracker.ordersFor(Session.Report);
-    std::string Serialized = Orders.SerializeAsString();
-    if (Serialized == Session.PublishedOrders)
-      continue;
-    const std::uint64_t Last =
-        std::max(Session.Orders.revision(), Serving.value() * RevisionsPerTerm);
-    Orders.set_revision(Last + 1);
-    Session.Orders = std::move(Orders);
-    Session.PublishedOrders = std::move(Serialized);
-    Session.OrdersChanged->notify_all();
-  }
-}
-
 std::string TaskCoordinator::dump() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   auto Dump = makeDump();
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/TaskCoordinator.h
@@ -95,6 +95,9 @@
   /// capacity has not shrunk since.
   static bool areOrdersFor(const WorkerSession &Session,
                            const wire::TaskReport &Report);
+  /// Returns the lowest order revision of a term, which is above those of all
+  /// earlier terms.
+  static std::uint64_t firstRevision(Epoch Term);
   void run();
   void round();
   bool takeOver(const CoordinatorTerm &Term);
