Name only runs that may have been there as lost in a crash

After a crash, each report of an agent named every run that it had ever started on that worker, since only refused starts were forgotten: reports and the agent's memory grew with the age of the worker. Found by reading.

A start is forgotten when its end is listed. The test failed before: a run whose end had been acknowledged was named as lost.

--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/TaskAgent.cpp
@@ -352,8 +352,10 @@
   std::set<RunId> Known;
   for (const wire::RunStatus &Run : Listing.Running)
     Known.insert({Run.task(), Run.run()});
-  for (const wire::RunEnd &End : Listing.Ends)
+  for (const wire::RunEnd &End : Listing.Ends) {
     Known.insert({End.task(), End.run()});
+    StartsSent.erase({End.task(), End.run()});
+  }
   std::set<RunId> Previous;
   for (const wire::RunStatus &Run : Running)
     Previous.insert({Run.task(), Run.run()});
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/TaskAgent.h
@@ -134,7 +134,8 @@
   WorkerIncarnation LostWorker;
   std::set<RunId> LostRuns;
   bool AreLostRunsComplete = false;
-  /// Runs whose starts were sent to the current incarnation and not refused.
+  /// Runs whose starts were sent to the current incarnation and not refused,
+  /// and whose ends it has not listed.
   std::set<RunId> StartsSent;
   std::uint64_t DepartedWorkers = 0;
   bool Listed = false;
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/TaskAgentTest.cpp
@@ -467,3 +467,21 @@
   const int Listed = Listings() - Before;
   CHECK(Listed <= (monotonicNow() - Begin) / Milliseconds(50) + 3);
 }
+
+// Pattern: a worker crashes after thousands of runs, and each later report of
+// its agent names all of them as lost.
+TEST(TaskAgent, ForgetsRunsThatHaveEndedBeforeACrash) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  Worker.end("j.0.0.0", wire::RUN_DONE);
+  CHECK_TRUE(waitUntil([&] { return last().ends_size() == 1; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Ends.clear();
+  }
+  CHECK_TRUE(waitUntil([&] { return last().ends_size() == 0; }));
+  Agent->onHeartbeat(heartbeat(8, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#8"; }));
+  STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
+  LONGS_EQUAL(0, last().lost_runs_size());
+}
