--- a/review/standins/Store.cpp
+++ b/review/standins/Store.cpp
@@ -14,6 +14,8 @@
 const std::string KeepPath = "/-/kv-keep/";
 const std::string EndPath = "/-/kv-lease-end/";
 constexpr std::size_t PageItems = 500;
+/// The site's bound on a value.
+constexpr std::size_t MaxValueBytes = 1048576;
 
 std::string encode(const std::string &Bytes) {
   std::ostringstream Out;
@@ -24,6 +26,14 @@
   return Out.str();
 }
 
+/// Returns the number of bytes that padded base64 text stands for.
+std::size_t decodedBytes(const std::string &Text) {
+  constexpr std::size_t Group = 4;
+  constexpr std::size_t BytesPerGroup = 3;
+  const std::size_t Padding = Text.size() - Text.find_last_not_of('=') - 1;
+  return Text.size() / Group * BytesPerGroup - Padding;
+}
+
 bool startsWith(const std::string &Text, const std::string &Prefix) {
   return Text.compare(0, Prefix.size(), Prefix) == 0;
 }
@@ -191,6 +201,9 @@
     if (const auto Id = Row->optValue<std::int64_t>("lease", 0);
         Id && !Leases.count(Id))
       return {404, "{}", false};
+  for (const JsonObject &Row : rows(Change, "set_keys"))
+    if (decodedBytes(Row->getValue<std::string>("value")) > MaxValueBytes)
+      return {400, "{}", false};
   ++Revision;
   for (const JsonObject &Row : rows(Change, "set_keys"))
     put(Row->getValue<std::string>("key"), Row->getValue<std::string>("value"),
