--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -84,7 +84,7 @@
 
 Response call(const std::string &Address, const Request &Message,
               int TimeoutMs) {
-  constexpr int MicrosecondsPerMs = 1000;
+  constexpr Poco::Timespan::TimeDiff MicrosecondsPerMs = 1000;
   Response Reply;
   Reply.Status = 0;
   Reply.Body.clear();
--- a/review/standins/Minion.cpp
+++ b/review/standins/Minion.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 
-// The bounds of the site: the longest lease, and the time that a stop takes at
-// most, of which this stand-in takes a part.
+// The longest lease of the site, and the time that a stop takes, which is less
+// than the bound of the site.
 constexpr std::int64_t MaxHoldMs = 6000;
 constexpr std::int64_t StopMs = 100;
-constexpr std::int64_t DrainMs = 4000;
 constexpr int HeartbeatTimeoutMs = 1000;
 
 /// Returns the number after "\p Name=" in \p Spec, or \p Default.
