Divide src/tasks into folders by job

Cause: 45 files of one folder served five jobs: intake of calls, coordination, planning, attribution of crashes, and the agent. Change: moved without other changes, with include paths and header guards; the types that all use stay in src/tasks.

--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -4,8 +4,8 @@
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
 #include "tasks.pb.h"
-#include "tasks/CrashAttribution.h"
 #include "tasks/WorkerIncarnation.h"
+#include "tasks/crashes/CrashAttribution.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/tasks/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -1,4 +1,4 @@
-#include "tasks/TaskAgent.h"
+#include "tasks/agent/TaskAgent.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -1,14 +1,14 @@
-#ifndef BAOBABCOVE_TASKS_TASKAGENT_H
-#define BAOBABCOVE_TASKS_TASKAGENT_H
+#ifndef BAOBABCOVE_TASKS_AGENT_TASKAGENT_H
+#define BAOBABCOVE_TASKS_AGENT_TASKAGENT_H
 
 #include "base/BoundedQueue.h"
 #include "base/Metrics.h"
 #include "rpc/Rpc.h"
 #include "store/TransactionalStore.h"
-#include "tasks/RunOrderTracker.h"
 #include "tasks/WorkerIncarnation.h"
-#include "tasks/WorkerLink.h"
-#include "tasks/WorkerLiveness.h"
+#include "tasks/agent/RunOrderTracker.h"
+#include "tasks/agent/WorkerLink.h"
+#include "tasks/agent/WorkerLiveness.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -163,4 +163,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_TASKAGENT_H
+#endif // BAOBABCOVE_TASKS_AGENT_TASKAGENT_H
--- a/src/tasks/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -3,7 +3,7 @@
 
 #include "base/Log.h"
 #include "base/LogFields.h"
-#include "tasks/TaskAgent.h"
+#include "tasks/agent/TaskAgent.h"
 
 namespace baobabcove {
 
--- a/src/tasks/WorkerLink.h
+++ b/src/tasks/agent/WorkerLink.h
@@ -1,8 +1,8 @@
 /// \file
 /// The interface between an agent and its worker.
 
-#ifndef BAOBABCOVE_TASKS_WORKERLINK_H
-#define BAOBABCOVE_TASKS_WORKERLINK_H
+#ifndef BAOBABCOVE_TASKS_AGENT_WORKERLINK_H
+#define BAOBABCOVE_TASKS_AGENT_WORKERLINK_H
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
@@ -101,4 +101,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_WORKERLINK_H
+#endif // BAOBABCOVE_TASKS_AGENT_WORKERLINK_H
--- a/src/tasks/CoordinatorRole.cpp
+++ b/src/tasks/coordination/CoordinatorRole.cpp
@@ -1,4 +1,4 @@
-#include "tasks/CoordinatorRole.h"
+#include "tasks/coordination/CoordinatorRole.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -1,13 +1,13 @@
-#ifndef BAOBABCOVE_TASKS_JOBTRACKER_H
-#define BAOBABCOVE_TASKS_JOBTRACKER_H
+#ifndef BAOBABCOVE_TASKS_COORDINATION_JOBTRACKER_H
+#define BAOBABCOVE_TASKS_COORDINATION_JOBTRACKER_H
 
 #include "baobabcove/Clock.h"
 #include "tasks.pb.h"
-#include "tasks/DurationEstimator.h"
 #include "tasks/QueueConfig.h"
 #include "tasks/TaskJob.h"
-#include "tasks/TaskPlanner.h"
-#include "tasks/WorkerQuarantine.h"
+#include "tasks/planning/DurationEstimator.h"
+#include "tasks/planning/TaskPlanner.h"
+#include "tasks/planning/WorkerQuarantine.h"
 
 #include <map>
 #include <set>
@@ -214,4 +214,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_JOBTRACKER_H
+#endif // BAOBABCOVE_TASKS_COORDINATION_JOBTRACKER_H
--- a/src/tasks/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -3,7 +3,7 @@
 
 #include "base/Log.h"
 #include "base/LogFields.h"
-#include "tasks/JobTracker.h"
+#include "tasks/coordination/JobTracker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/tasks/ProgressWriter.cpp
+++ b/src/tasks/coordination/ProgressWriter.cpp
@@ -1,4 +1,4 @@
-#include "tasks/ProgressWriter.h"
+#include "tasks/coordination/ProgressWriter.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/ProgressWriter.h
+++ b/src/tasks/coordination/ProgressWriter.h
@@ -1,9 +1,9 @@
-#ifndef BAOBABCOVE_TASKS_PROGRESSWRITER_H
-#define BAOBABCOVE_TASKS_PROGRESSWRITER_H
+#ifndef BAOBABCOVE_TASKS_COORDINATION_PROGRESSWRITER_H
+#define BAOBABCOVE_TASKS_COORDINATION_PROGRESSWRITER_H
 
 #include "store/TransactionalStore.h"
-#include "tasks/CoordinatorRole.h"
 #include "tasks/TaskJob.h"
+#include "tasks/coordination/CoordinatorRole.h"
 
 #include <map>
 #include <set>
@@ -47,4 +47,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_PROGRESSWRITER_H
+#endif // BAOBABCOVE_TASKS_COORDINATION_PROGRESSWRITER_H
--- a/src/tasks/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -1,4 +1,4 @@
-#include "tasks/TaskCoordinator.h"
+#include "tasks/coordination/TaskCoordinator.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -1,14 +1,14 @@
-#ifndef BAOBABCOVE_TASKS_TASKCOORDINATOR_H
-#define BAOBABCOVE_TASKS_TASKCOORDINATOR_H
+#ifndef BAOBABCOVE_TASKS_COORDINATION_TASKCOORDINATOR_H
+#define BAOBABCOVE_TASKS_COORDINATION_TASKCOORDINATOR_H
 
 #include "base/Metrics.h"
 #include "store/TransactionalStore.h"
-#include "tasks/CoordinatorRole.h"
-#include "tasks/JobCatalog.h"
-#include "tasks/JobTracker.h"
-#include "tasks/ProgressWriter.h"
 #include "tasks/QueueConfig.h"
-#include "tasks/WorkerSession.h"
+#include "tasks/coordination/CoordinatorRole.h"
+#include "tasks/coordination/JobTracker.h"
+#include "tasks/coordination/ProgressWriter.h"
+#include "tasks/coordination/WorkerSession.h"
+#include "tasks/intake/JobCatalog.h"
 
 #include <chrono>
 #include <condition_variable>
@@ -140,4 +140,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_TASKCOORDINATOR_H
+#endif // BAOBABCOVE_TASKS_COORDINATION_TASKCOORDINATOR_H
--- a/src/tasks/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// The part of TaskCoordinator that exchanges reports and orders with agents.
 
-#include "tasks/TaskCoordinator.h"
+#include "tasks/coordination/TaskCoordinator.h"
 
 #include <algorithm>
 
--- a/src/tasks/CrashAttribution.h
+++ b/src/tasks/crashes/CrashAttribution.h
@@ -1,8 +1,8 @@
 /// \file
 /// Which tasks a crash of a worker is blamed on, and when a task is given up.
 
-#ifndef BAOBABCOVE_TASKS_CRASHATTRIBUTION_H
-#define BAOBABCOVE_TASKS_CRASHATTRIBUTION_H
+#ifndef BAOBABCOVE_TASKS_CRASHES_CRASHATTRIBUTION_H
+#define BAOBABCOVE_TASKS_CRASHES_CRASHATTRIBUTION_H
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
@@ -95,4 +95,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_CRASHATTRIBUTION_H
+#endif // BAOBABCOVE_TASKS_CRASHES_CRASHATTRIBUTION_H
--- a/src/tasks/CallAdmission.h
+++ b/src/tasks/intake/CallAdmission.h
@@ -1,8 +1,8 @@
 /// \file
 /// Admission of client calls by queue, API key and age of the configuration.
 
-#ifndef BAOBABCOVE_TASKS_CALLADMISSION_H
-#define BAOBABCOVE_TASKS_CALLADMISSION_H
+#ifndef BAOBABCOVE_TASKS_INTAKE_CALLADMISSION_H
+#define BAOBABCOVE_TASKS_INTAKE_CALLADMISSION_H
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
@@ -37,4 +37,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_CALLADMISSION_H
+#endif // BAOBABCOVE_TASKS_INTAKE_CALLADMISSION_H
--- a/src/tasks/ConfigFollower.cpp
+++ b/src/tasks/intake/ConfigFollower.cpp
@@ -1,4 +1,4 @@
-#include "tasks/ConfigFollower.h"
+#include "tasks/intake/ConfigFollower.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/ConfigFollower.h
+++ b/src/tasks/intake/ConfigFollower.h
@@ -1,9 +1,9 @@
-#ifndef BAOBABCOVE_TASKS_CONFIGFOLLOWER_H
-#define BAOBABCOVE_TASKS_CONFIGFOLLOWER_H
+#ifndef BAOBABCOVE_TASKS_INTAKE_CONFIGFOLLOWER_H
+#define BAOBABCOVE_TASKS_INTAKE_CONFIGFOLLOWER_H
 
 #include "baobabcove/Clock.h"
 #include "tasks/QueueConfig.h"
-#include "tasks/StoreFollower.h"
+#include "tasks/intake/StoreFollower.h"
 
 #include <functional>
 #include <memory>
@@ -48,4 +48,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_CONFIGFOLLOWER_H
+#endif // BAOBABCOVE_TASKS_INTAKE_CONFIGFOLLOWER_H
--- a/src/tasks/JobCatalog.cpp
+++ b/src/tasks/intake/JobCatalog.cpp
@@ -1,4 +1,4 @@
-#include "tasks/JobCatalog.h"
+#include "tasks/intake/JobCatalog.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/JobCatalog.h
+++ b/src/tasks/intake/JobCatalog.h
@@ -1,5 +1,5 @@
-#ifndef BAOBABCOVE_TASKS_JOBCATALOG_H
-#define BAOBABCOVE_TASKS_JOBCATALOG_H
+#ifndef BAOBABCOVE_TASKS_INTAKE_JOBCATALOG_H
+#define BAOBABCOVE_TASKS_INTAKE_JOBCATALOG_H
 
 #include "store/TransactionalStore.h"
 #include "tasks/TaskJob.h"
@@ -75,4 +75,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_JOBCATALOG_H
+#endif // BAOBABCOVE_TASKS_INTAKE_JOBCATALOG_H
--- a/src/tasks/JobIntake.cpp
+++ b/src/tasks/intake/JobIntake.cpp
@@ -1,4 +1,4 @@
-#include "tasks/JobIntake.h"
+#include "tasks/intake/JobIntake.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/JobIntake.h
+++ b/src/tasks/intake/JobIntake.h
@@ -1,10 +1,10 @@
-#ifndef BAOBABCOVE_TASKS_JOBINTAKE_H
-#define BAOBABCOVE_TASKS_JOBINTAKE_H
+#ifndef BAOBABCOVE_TASKS_INTAKE_JOBINTAKE_H
+#define BAOBABCOVE_TASKS_INTAKE_JOBINTAKE_H
 
 #include "baobabcove/Ids.h"
 #include "baobabcove/ResultCode.h"
 #include "store/TransactionalStore.h"
-#include "tasks/JobCatalog.h"
+#include "tasks/intake/JobCatalog.h"
 
 namespace baobabcove {
 
@@ -44,4 +44,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_JOBINTAKE_H
+#endif // BAOBABCOVE_TASKS_INTAKE_JOBINTAKE_H
--- a/src/tasks/StoreFollower.cpp
+++ b/src/tasks/intake/StoreFollower.cpp
@@ -1,4 +1,4 @@
-#include "tasks/StoreFollower.h"
+#include "tasks/intake/StoreFollower.h"
 
 #include "base/Log.h"
 #include "base/LogFields.h"
--- a/src/tasks/StoreFollower.h
+++ b/src/tasks/intake/StoreFollower.h
@@ -1,5 +1,5 @@
-#ifndef BAOBABCOVE_TASKS_STOREFOLLOWER_H
-#define BAOBABCOVE_TASKS_STOREFOLLOWER_H
+#ifndef BAOBABCOVE_TASKS_INTAKE_STOREFOLLOWER_H
+#define BAOBABCOVE_TASKS_INTAKE_STOREFOLLOWER_H
 
 #include "baobabcove/Clock.h"
 #include "store/TransactionalStore.h"
@@ -67,4 +67,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_STOREFOLLOWER_H
+#endif // BAOBABCOVE_TASKS_INTAKE_STOREFOLLOWER_H
--- a/src/tasks/DurationEstimator.cpp
+++ b/src/tasks/planning/DurationEstimator.cpp
@@ -1,4 +1,4 @@
-#include "tasks/DurationEstimator.h"
+#include "tasks/planning/DurationEstimator.h"
 
 namespace baobabcove {
 
--- a/src/tasks/PlacementRules.cpp
+++ b/src/tasks/planning/PlacementRules.cpp
@@ -1,4 +1,4 @@
-#include "tasks/PlacementRules.h"
+#include "tasks/planning/PlacementRules.h"
 
 #include <algorithm>
 
--- a/src/tasks/PlacementRules.h
+++ b/src/tasks/planning/PlacementRules.h
@@ -1,10 +1,10 @@
 /// \file
 /// Which workers a unit may be placed on, apart from their resources.
 
-#ifndef BAOBABCOVE_TASKS_PLACEMENTRULES_H
-#define BAOBABCOVE_TASKS_PLACEMENTRULES_H
+#ifndef BAOBABCOVE_TASKS_PLANNING_PLACEMENTRULES_H
+#define BAOBABCOVE_TASKS_PLANNING_PLACEMENTRULES_H
 
-#include "tasks/TaskPlanner.h"
+#include "tasks/planning/TaskPlanner.h"
 
 #include <vector>
 
@@ -27,4 +27,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_PLACEMENTRULES_H
+#endif // BAOBABCOVE_TASKS_PLANNING_PLACEMENTRULES_H
--- a/src/tasks/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -1,5 +1,5 @@
-#include "tasks/TaskPlanner.h"
-#include "tasks/PlacementRules.h"
+#include "tasks/planning/TaskPlanner.h"
+#include "tasks/planning/PlacementRules.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/tasks/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -1,5 +1,5 @@
-#ifndef BAOBABCOVE_TASKS_TASKPLANNER_H
-#define BAOBABCOVE_TASKS_TASKPLANNER_H
+#ifndef BAOBABCOVE_TASKS_PLANNING_TASKPLANNER_H
+#define BAOBABCOVE_TASKS_PLANNING_TASKPLANNER_H
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
@@ -121,4 +121,4 @@
 
 } // namespace baobabcove
 
-#endif // BAOBABCOVE_TASKS_TASKPLANNER_H
+#endif // BAOBABCOVE_TASKS_PLANNING_TASKPLANNER_H
--- a/src/tasks/WorkerQuarantine.cpp
+++ b/src/tasks/planning/WorkerQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "tasks/WorkerQuarantine.h"
+#include "tasks/planning/WorkerQuarantine.h"
 
 #include <algorithm>
 
--- a/tests/tasks/RunOrderTrackerTest.cpp
+++ b/tests/tasks/agent/RunOrderTrackerTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/RunOrderTracker.h"
+#include "tasks/agent/RunOrderTracker.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/tasks/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/TaskAgent.h"
+#include "tasks/agent/TaskAgent.h"
 #include "FakeKv.h"
 #include "WaitUntil.h"
 #include "tasks/StoreKeys.h"
--- a/tests/tasks/WorkerLivenessTest.cpp
+++ b/tests/tasks/agent/WorkerLivenessTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/WorkerLiveness.h"
+#include "tasks/agent/WorkerLiveness.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/tasks/CoordinatorRoleTest.cpp
+++ b/tests/tasks/coordination/CoordinatorRoleTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/CoordinatorRole.h"
+#include "tasks/coordination/CoordinatorRole.h"
 #include "FakeKv.h"
 #include "WaitUntil.h"
 #include "tasks/StoreKeys.h"
--- a/tests/tasks/JobTrackerCrashTest.cpp
+++ b/tests/tasks/coordination/JobTrackerCrashTest.cpp
@@ -2,7 +2,7 @@
 // out the tracker's orders: a deadly task crashes each worker that starts it,
 // any other task ends after a while.
 
-#include "tasks/JobTracker.h"
+#include "tasks/coordination/JobTracker.h"
 
 #include <algorithm>
 
--- a/tests/tasks/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/JobTracker.h"
+#include "tasks/coordination/JobTracker.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/tasks/ProgressWriterTest.cpp
+++ b/tests/tasks/coordination/ProgressWriterTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/ProgressWriter.h"
+#include "tasks/coordination/ProgressWriter.h"
 #include "FakeKv.h"
 #include "tasks/StoreKeys.h"
 
--- a/tests/tasks/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/TaskCoordinator.h"
+#include "tasks/coordination/TaskCoordinator.h"
 #include "FakeKv.h"
 #include "WaitUntil.h"
 #include "tasks/StoreKeys.h"
--- a/tests/tasks/TaskModelTest.cpp
+++ b/tests/tasks/coordination/TaskModelTest.cpp
@@ -6,8 +6,8 @@
 // under it; any other job may fail only if two have crashed under one of its
 // tasks.
 
-#include "tasks/JobTracker.h"
-#include "tasks/RunOrderTracker.h"
+#include "tasks/agent/RunOrderTracker.h"
+#include "tasks/coordination/JobTracker.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/tasks/CrashAttributionTest.cpp
+++ b/tests/tasks/crashes/CrashAttributionTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/CrashAttribution.h"
+#include "tasks/crashes/CrashAttribution.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/tasks/CallAdmissionTest.cpp
+++ b/tests/tasks/intake/CallAdmissionTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/CallAdmission.h"
+#include "tasks/intake/CallAdmission.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/tasks/JobCatalogTest.cpp
+++ b/tests/tasks/intake/JobCatalogTest.cpp
@@ -1,9 +1,9 @@
-#include "tasks/JobCatalog.h"
+#include "tasks/intake/JobCatalog.h"
 #include "FakeKv.h"
 #include "WaitUntil.h"
-#include "tasks/ConfigFollower.h"
-#include "tasks/StoreFollower.h"
 #include "tasks/StoreKeys.h"
+#include "tasks/intake/ConfigFollower.h"
+#include "tasks/intake/StoreFollower.h"
 
 #include <thread>
 
--- a/tests/tasks/JobIntakeTest.cpp
+++ b/tests/tasks/intake/JobIntakeTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/JobIntake.h"
+#include "tasks/intake/JobIntake.h"
 #include "FakeKv.h"
 #include "tasks/StoreKeys.h"
 
--- a/tests/tasks/StoreFollowerTest.cpp
+++ b/tests/tasks/intake/StoreFollowerTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/StoreFollower.h"
+#include "tasks/intake/StoreFollower.h"
 #include "FakeKv.h"
 #include "WaitUntil.h"
 
--- a/tests/tasks/TaskPlannerTest.cpp
+++ b/tests/tasks/planning/TaskPlannerTest.cpp
@@ -1,4 +1,4 @@
-#include "tasks/TaskPlanner.h"
+#include "tasks/planning/TaskPlanner.h"
 
 #include <CppUTest/TestHarness.h>
 
