Leave gangs whose members wait for the slowest one

Cause: a member of a gang that has done its work stays at 100 percent until the slowest ends. After 1.6 s it was taken for stalled: the gang was stopped if it had checkpoints, and its worker, a fast one, got no task for 2.5 s. Change: a gang member at 100 percent is not stalled.

--- a/src/tasks/coordination/JobTrackerProgress.cpp
+++ b/src/tasks/coordination/JobTrackerProgress.cpp
@@ -23,6 +23,7 @@
 /// A stalled run without checkpoints is moved if at most this much work is
 /// lost. Stalls last 4 to 7 s.
 constexpr Milliseconds MaxStallLoss{3000};
+constexpr std::uint32_t AllWorkDone = 100;
 
 } // namespace
 
@@ -38,6 +39,10 @@
       continue;
     for (std::size_t At = 0; At < Job.size(); ++At) {
       const TaskState &Task = Job.task(At);
+      // The members of a gang end together: on uneven workers the fast ones
+      // wait at 100 percent for the slowest.
+      if (Job.step(At).gang() && Task.Percent >= AllWorkDone)
+        continue;
       // Only a run that was listed throughout the timeout can be stalled.
       if (Task.Phase != wire::TASK_PLACED || !Task.Listed ||
           Task.StopRequested || Job.step(At).long_running() ||
--- a/tests/tasks/coordination/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -343,6 +343,30 @@
   LONGS_EQUAL(wire::TASK_WAITING, job("k").task(0).Phase);
 }
 
+// Guards against stopping a whole gang because its members on fast workers have
+// done their work and wait for the slow ones.
+TEST(JobTracker, LeavesAGangWhoseFastMembersWaitForTheSlowest) {
+  auto Spec = jobOf("j", 2);
+  Spec->mutable_steps(0)->set_gang(true);
+  Spec->mutable_steps(0)->set_checkpointing(true);
+  Tracker.addJob(std::move(Spec));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  for (std::uint32_t Percent = 10; Percent < 40; Percent += 5) {
+    Report.clear_running();
+    list(Report, "j.0.0.0", 1, 100);
+    list(Report, "j.0.0.1", 1, Percent);
+    Tracker.applyReport(Report, Now);
+    Tracker.moveStalledRuns(Now);
+    advance(400);
+  }
+  LONGS_EQUAL(0, Tracker.ordersFor(Report).stops_size());
+  Tracker.addJob(jobOf("k", 1));
+  wire::TaskReport Idle = reportOf("n2");
+  Tracker.plan({Report, Idle}, Config, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("k").task(0).Phase);
+}
+
 TEST(JobTracker, DoesNotTreatMissingReportsAsAStall) {
   Tracker.addJob(jobOf("j", 1));
   wire::TaskReport Report = reportOf("n1");
