Bound the units of a step per round, and reclaim from long-running tasks

Long-running tasks were given up like others after three crashes, were never preempted for a guaranteed job, and one that was down was held back by the reserve of fully free workers as long as another task of its job ran.

Change: at most 256 tasks of a step and kind (new, run before, under suspicion) are planned per round, each unit with its own task only. Crashes never give up a long-running unit; its history keeps the latest 16 crashes. Long-running runs may be preempted: VictimCost chooses the runs that make the fewest steps exceed may_miss, then the step with the most left. TaskRecord.preempted (15) keeps a task down until the worker reports 100 percent, also across a takeover. A long-running task that has run before ranks after guaranteed units only and ignores the reserve.

--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -13,6 +13,11 @@
          std::to_string(Name.Step) + "." + std::to_string(Name.Index);
 }
 
+std::string stepKey(const TaskName &Name) {
+  return Name.Job.str() + "." + std::to_string(Name.Occurrence) + "." +
+         std::to_string(Name.Step);
+}
+
 std::optional<TaskName> parseTaskName(const std::string &Text) {
   const Poco::StringTokenizer Parts(Text, ".");
   if (Parts.count() != 4)
@@ -53,6 +58,7 @@
     Task.Crashes = CrashHistory::fromRecord(Record.crashes());
     Task.Lost = Record.lost();
     Task.StopRequested = Task.Lost;
+    Task.Preempted = Record.preempted();
   }
   Failed = Stored.failed();
   Completed = Stored.completed();
@@ -76,6 +82,7 @@
     if (Task.Phase == wire::TASK_PLACED)
       Record.set_worker(Task.Worker.str());
     Record.set_lost(Task.Lost);
+    Record.set_preempted(Task.Preempted);
     Record.set_failures(Task.Failures);
     if (Task.Phase != wire::TASK_DONE)
       Record.set_checkpoint(Task.Checkpoint);
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -26,6 +26,9 @@
 /// Returns "JOB.OCCURRENCE.STEP.INDEX".
 std::string toText(const TaskName &Name);
 
+/// Returns "JOB.OCCURRENCE.STEP", which identifies a step of an occurrence.
+std::string stepKey(const TaskName &Name);
+
 /// Parses a task name. Returns nothing if \p Text is not one.
 std::optional<TaskName> parseTaskName(const std::string &Text);
 
@@ -40,6 +43,9 @@
   bool Lost = false;
   std::uint32_t Failures = 0;
   std::string Checkpoint;
+  /// Whether the scheduler has stopped a long-running task that has not been
+  /// at work again since; it counts towards the step's may_miss.
+  bool Preempted = false;
   /// Crashes of workers under the unit; of a gang, at its first member.
   CrashHistory Crashes;
 
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -160,6 +160,7 @@
     Task->Listed = true;
     Task->LastListedAt = Now.Boot;
     noteSurvival(At);
+    noteAtWork(At);
     if (!Run.checkpoint().empty())
       updateCheckpoint(At, Run.checkpoint());
   }
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -163,6 +163,13 @@
                           const QueueConfig &Config, const ClockReading &Now);
   void addUnits(TaskJob &Job, bool Guaranteed, const ClockReading &Now,
                 PlanInput &Input);
+  /// Adds a unit for each task of a step that may start, up to a bound for each
+  /// kind of task; the others follow in later rounds. \p Common holds what the
+  /// units have in common.
+  void addSingleTasks(TaskJob &Job, std::size_t First, const PlanUnit &Common,
+                      const ClockReading &Now, PlanInput &Input);
+  bool mayStart(const TaskJob &Job, std::size_t At,
+                const ClockReading &Now) const;
   PlanUnit makeUnit(const TaskJob &Job, std::uint32_t Occurrence,
                     std::uint32_t Step, bool Guaranteed,
                     const ClockReading &Now) const;
@@ -172,6 +179,16 @@
   /// Returns a lower rank for jobs with more value for the resources and time
   /// that they need.
   double rankOf(const TaskJob &Job, const JobForecast &Forecast) const;
+  /// Ends the preemption of a long-running task that is at work again.
+  void noteAtWork(TaskRef At);
+  /// Marks the long-running tasks that end with \p At as stopped by the
+  /// scheduler.
+  void notePreempted(TaskRef At);
+  /// Adds how many tasks of the job's long-running steps may still be stopped.
+  static void addMayMiss(const TaskJob &Job, PlanInput &Input);
+  /// Lets a unit of a long-running step that was down precede all but the
+  /// guaranteed ones and ignore the reserve of fully free workers.
+  static void preferRestart(PlanUnit &Unit, const TaskJob &Job);
   void applyPlan(const TaskPlan &Plan, const PlanInput &Input,
                  const ClockReading &Now);
 
--- a/src/tasks/coordination/JobTrackerCrashes.cpp
+++ b/src/tasks/coordination/JobTrackerCrashes.cpp
@@ -20,6 +20,9 @@
 /// It avoids the nodes of earlier crashes for this long. Then it returns there,
 /// because the other workers may stay full.
 constexpr Milliseconds MaxAvoidance{3000};
+/// A long-running task is restarted within 3 s of capacity becoming available,
+/// which may be on the node of the crash.
+constexpr Milliseconds MaxLongRunningAvoidance{1500};
 
 log4cplus::Logger runLog() { return logOf("run"); }
 
@@ -159,7 +162,9 @@
                                  .add("worker", Incarnation)
                                  .add("outcome", Outcome)
                                  .add("crashes", Crashes.crashes()));
-    if (Crashes.provesUnitDeadly() && !Unit.Job->isOver())
+    // A long-running task is restarted however it ends.
+    if (Crashes.provesUnitDeadly() && !Unit.Job->isOver() &&
+        !Unit.Job->step(Unit.Task).long_running())
       giveUp(Unit, Now);
   }
 }
@@ -248,7 +253,8 @@
   Unit.Isolated = isIsolated(At);
   Unit.MayShareWorker =
       Unit.Isolated && Now.Boot - WaitingSince >= MaxIsolationWait;
-  if (Now.Boot - WaitingSince < MaxAvoidance)
+  if (Now.Boot - WaitingSince <
+      (Unit.Step->long_running() ? MaxLongRunningAvoidance : MaxAvoidance))
     Unit.CrashNodes = crashesOf(At).nodes();
 }
 
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -54,6 +54,11 @@
 /// objective.
 constexpr double LateObjectiveFactor = 3;
 
+/// Number of tasks of one step and kind that are planned in a round, which
+/// bounds its memory and length. Rounds follow each other within 100 ms, so
+/// that 8,000 tasks are placed in 4 s.
+constexpr std::size_t MaxTasksPerStep = 256;
+
 /// Returns the resources as an equivalent number of cores.
 double coreEquivalents(const Resources &Usage) {
   return double(Usage.MilliCores) / 1000 +
@@ -62,11 +67,6 @@
 
 log4cplus::Logger runLog() { return logOf("run"); }
 
-std::string stepKey(const TaskName &Name) {
-  return Name.Job.str() + "." + std::to_string(Name.Occurrence) + "." +
-         std::to_string(Name.Step);
-}
-
 } // namespace
 
 void JobTracker::plan(const std::vector<wire::TaskReport> &Reports,
@@ -125,17 +125,21 @@
       ++Input.OnWorker[{stepKey(Job.name(At)), WorkerIndex->second}];
       if (Task.StopRequested)
         Worker.Releasing += Usage;
-      else if (Task.Listed && !IsGuaranteed && !Job.step(At).long_running()) {
+      else if (Task.Listed && !IsGuaranteed) {
         const double Ran = double((Now.Boot - Task.PlacedAt).count()) / 1000;
-        const double Members =
-            Job.step(At).gang() ? double(Job.step(At).count()) : 1.0;
+        const std::size_t Members =
+            Job.step(At).gang() ? Job.step(At).count() : 1;
         Input.Preemptible.push_back(
             {WorkerIndex->second, Id, At, Usage,
              Job.step(At).gang() ? stepKey(Job.name(At)) : std::string(),
-             (Job.step(At).checkpointing() ? 1.0 : Ran + 0.1) * Members *
-                 coreEquivalents(Usage)});
+             (Job.step(At).checkpointing() ? 1.0 : Ran + 0.1) *
+                 double(Members) * coreEquivalents(Usage),
+             Job.step(At).long_running() ? stepKey(Job.name(At))
+                                         : std::string(),
+             Members});
       }
     }
+    addMayMiss(Job, Input);
     if (!Job.isOver())
       addUnits(Job, IsGuaranteed, Now, Input);
   }
@@ -302,7 +306,8 @@
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
   Unit.MayPreempt = Guaranteed && WaitedMs >= ReclaimDelay.count();
   const bool HeldBackTooLong =
-      WaitedMs >= MaxHoldback.count() && !Job.hasPlacedTasks();
+      WaitedMs >= MaxHoldback.count() &&
+      (!Job.hasPlacedTasks() || Unit.Step->long_running());
   if (Job.spec().priority() > 0 && Forecast.Completion == JobForecast::OnTime &&
       Forecast.Slack > HoldbackMinSlack && !HeldBackTooLong)
     Unit.KeepFullyFree = static_cast<std::size_t>(
@@ -312,16 +317,18 @@
   return Unit;
 }
 
+bool JobTracker::mayStart(const TaskJob &Job, std::size_t At,
+                          const ClockReading &Now) const {
+  if (Job.task(At).Phase != wire::TASK_WAITING)
+    return false;
+  if (RetryNotBefore.empty())
+    return true;
+  const auto Retry = RetryNotBefore.find(toText(Job.name(At)));
+  return Retry == RetryNotBefore.end() || Retry->second <= Now.Boot;
+}
+
 void JobTracker::addUnits(TaskJob &Job, bool Guaranteed,
                           const ClockReading &Now, PlanInput &Input) {
-  const auto MayStart = [&](std::size_t At) {
-    if (Job.task(At).Phase != wire::TASK_WAITING)
-      return false;
-    if (RetryNotBefore.empty())
-      return true;
-    const auto Retry = RetryNotBefore.find(toText(Job.name(At)));
-    return Retry == RetryNotBefore.end() || Retry->second <= Now.Boot;
-  };
   for (std::uint32_t Occurrence = 0; Occurrence < Job.occurrences();
        ++Occurrence) {
     for (int S = 0; S < Job.spec().steps_size(); ++S) {
@@ -332,26 +339,43 @@
           !Job.isStepReady(Occurrence, Step, Now.UnixMs))
         continue;
       PlanUnit Unit = makeUnit(Job, Occurrence, Step, Guaranteed, Now);
+      if (!Job.spec().steps(S).gang()) {
+        addSingleTasks(Job, First, Unit, Now, Input);
+        continue;
+      }
       for (std::size_t At = First; At < First + Count; ++At)
-        if (MayStart(At))
+        if (mayStart(Job, At, Now))
           Unit.Tasks.push_back(At);
-      if (Job.spec().steps(S).gang()) {
-        if (Unit.Tasks.size() == Count) {
-          restrictSuspect(Unit, Job, Now);
-          Input.Units.push_back(std::move(Unit));
-        }
+      if (Unit.Tasks.size() != Count)
         continue;
-      }
-      for (std::size_t At : Unit.Tasks) {
-        PlanUnit Single = Unit;
-        Single.Tasks = {At};
-        restrictSuspect(Single, Job, Now);
-        Input.Units.push_back(std::move(Single));
-      }
+      preferRestart(Unit, Job);
+      restrictSuspect(Unit, Job, Now);
+      Input.Units.push_back(std::move(Unit));
     }
   }
 }
 
+void JobTracker::addSingleTasks(TaskJob &Job, std::size_t First,
+                                const PlanUnit &Common, const ClockReading &Now,
+                                PlanInput &Input) {
+  // Tasks that have run before and tasks under suspicion have a bound of their
+  // own, so that others of the step, which may not fit, cannot hold them back.
+  std::map<std::pair<bool, bool>, std::size_t> Planned;
+  for (std::size_t At = First; At < First + Common.Step->count(); ++At) {
+    if (!mayStart(Job, At, Now))
+      continue;
+    std::size_t &Count =
+        Planned[{Job.task(At).Run > 0, crashesOf({&Job, At}).isSuspect()}];
+    if (Count >= MaxTasksPerStep && !isIsolated({&Job, At}))
+      continue;
+    ++Count;
+    PlanUnit &Single = Input.Units.emplace_back(Common);
+    Single.Tasks = {At};
+    preferRestart(Single, Job);
+    restrictSuspect(Single, Job, Now);
+  }
+}
+
 void JobTracker::applyPlan(const TaskPlan &Plan, const PlanInput &Input,
                            const ClockReading &Now) {
   for (const PlannedStart &Start : Plan.Starts) {
@@ -401,6 +425,7 @@
                                  .add("task", toText(Job.name(Stop.Task)))
                                  .add("run", Job.task(Stop.Task).Run)
                                  .add("worker", Job.task(Stop.Task).Worker));
+    notePreempted({&Job, Stop.Task});
   }
 }
 
--- a/src/tasks/crashes/CrashAttribution.cpp
+++ b/src/tasks/crashes/CrashAttribution.cpp
@@ -18,6 +18,8 @@
 /// no other candidate.
 constexpr std::size_t MaxUncertainCrashes = 5;
 constexpr std::size_t MinCrashesAlone = 2;
+/// A long-running unit is never given up; only its latest crashes are kept.
+constexpr std::size_t MaxRecordedCrashes = 16;
 
 std::vector<CrashCandidate>
 youngerThan(Milliseconds Limit, const std::vector<CrashCandidate> &Candidates) {
@@ -39,7 +41,10 @@
   Run = NewRun;
   Suspect = true;
   Alone += Certainty == Blame::Shared ? 0 : 1;
-  (Certainty == Blame::Certain ? CertainNodes : PossibleNodes).push_back(Node);
+  auto &Nodes = Certainty == Blame::Certain ? CertainNodes : PossibleNodes;
+  if (Nodes.size() == MaxRecordedCrashes)
+    Nodes.erase(Nodes.begin());
+  Nodes.push_back(Node);
   return true;
 }
 
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -1,5 +1,6 @@
 #include "tasks/planning/TaskPlanner.h"
 #include "tasks/planning/PlacementRules.h"
+#include "tasks/planning/VictimCost.h"
 
 #include <algorithm>
 #include <functional>
@@ -25,7 +26,7 @@
 struct PreemptionPlan {
   Assignment Placement;
   std::vector<std::size_t> Victims;
-  double Loss = 0;
+  VictimCost Cost;
 };
 
 class Planner {
@@ -315,7 +316,7 @@
     std::optional<PreemptionPlan> Best;
     for (const WorkerFilter &Group : localityGroups(Unit))
       if (auto Found = planPreemption(Unit, Group);
-          Found && (!Best || Found->Loss < Best->Loss))
+          Found && (!Best || Found->Cost < Best->Cost))
         Best = std::move(Found);
     if (!Best)
       Best = planPreemption(Unit, &anyWorker);
@@ -348,8 +349,11 @@
       }
     }
     prune(Found);
-    for (std::size_t Victim : Found.Victims)
-      Found.Loss += In.Preemptible[Victim].Loss;
+    VictimCosts Costs = currentCosts(Stopped);
+    for (std::size_t Victim : Found.Victims) {
+      Found.Cost += Costs.costOf(Victim);
+      Costs.take(Victim);
+    }
     return Found;
   }
 
@@ -385,45 +389,32 @@
                                             const std::vector<bool> &Removed,
                                             const WorkerFilter &Filter) const {
     const Resources Need = resourcesOf(*Unit.Step);
-    double BestLoss = Infinity;
+    const VictimCosts Costs = currentCosts(Removed);
+    VictimCost BestCost;
     std::optional<std::size_t> Best;
     for (std::size_t W = 0; W < In.Workers.size(); ++W) {
       if (!Filter(W) || !isEligible(In.Workers[W], Unit) ||
           !mayJoin(In.Workers[W], Unit) || After[W].covers(Need))
         continue;
-      const auto [Loss, First] = preemptionLoss(W, After[W], Need, Removed);
-      if (First && Loss < BestLoss) {
-        BestLoss = Loss;
+      const auto [Cost, First] = Costs.untilFits(W, After[W], Need, Removed);
+      if (First && (!Best || Cost < BestCost)) {
+        BestCost = Cost;
         Best = First;
       }
     }
     return Best;
   }
 
-  /// Returns the loss of preempting runs on worker \p W until \p Need fits, and
-  /// the first of these runs.
-  std::pair<double, std::optional<std::size_t>>
-  preemptionLoss(std::size_t W, Resources Available, const Resources &Need,
-                 const std::vector<bool> &Removed) const {
-    std::vector<std::size_t> Runs;
+  /// Returns the costs of further preemptions once the runs in \p Removed have
+  /// been stopped.
+  VictimCosts currentCosts(const std::vector<bool> &Removed) const {
+    VictimCosts Costs(In);
+    std::set<std::string> Gangs;
     for (std::size_t R = 0; R < In.Preemptible.size(); ++R)
-      if (In.Preemptible[R].Worker == W && !Removed[R])
-        Runs.push_back(R);
-    std::sort(Runs.begin(), Runs.end(), [&](std::size_t L, std::size_t R) {
-      return In.Preemptible[L].Loss < In.Preemptible[R].Loss;
-    });
-    double Loss = 0;
-    std::optional<std::size_t> First;
-    for (std::size_t R : Runs) {
-      if (Available.covers(Need))
-        break;
-      if (!First)
-        First = R;
-      Loss += In.Preemptible[R].Loss;
-      Available += In.Preemptible[R].Usage;
-    }
-    return Available.covers(Need) ? std::make_pair(Loss, First)
-                                  : std::make_pair(Infinity, std::nullopt);
+      if (const std::string &Gang = In.Preemptible[R].Gang;
+          Removed[R] && (Gang.empty() || Gangs.insert(Gang).second))
+        Costs.take(R);
+    return Costs;
   }
 
   void stopRun(std::size_t Victim) {
--- a/src/tasks/planning/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -49,6 +49,10 @@
   std::string Gang;
   /// Core-seconds of work that a preemption loses, for the whole gang.
   double Loss = 0;
+  /// Key of the step of a long-running task; empty for any other.
+  std::string LongRunningStep;
+  /// Number of tasks that end with it.
+  std::size_t Members = 1;
 };
 
 /// Tasks that are placed together: a whole gang or a single task.
@@ -89,6 +93,9 @@
   std::vector<PlanUnit> Units;
   /// Number of tasks of a step on a worker, by step key and worker index.
   std::map<std::pair<std::string, std::size_t>, std::uint32_t> OnWorker;
+  /// Number of tasks that may still be stopped, by key of a long-running step;
+  /// negative if more of them are down than may be.
+  std::map<std::string, std::int64_t> MayMiss;
   /// Workers that earlier rounds reserved, by the unit's first task.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
--- /dev/null
+++ b/tests/tasks/coordination/LargeJobTest.cpp
@@ -0,0 +1,143 @@
+// Jobs of thousands of tasks: the memory of a round and the number of units
+// that it plans stay bounded.
+
+#include "tasks/coordination/JobTracker.h"
+
+#include <fstream>
+
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+namespace {
+
+constexpr std::uint32_t LargeJobTasks = 8000;
+constexpr std::int64_t AmpleRoom = 16000;
+constexpr long MaxGrowthKb = 64L * 1024;
+
+/// Returns the memory that the process uses now.
+long memoryKb() {
+  std::ifstream Status("/proc/self/statm");
+  long Pages = 0;
+  long ResidentPages = 0;
+  Status >> Pages >> ResidentPages;
+  return ResidentPages * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
+/// Returns by how much the memory of the process grows at most during \p Work.
+/// It is carried out in a child process, because the peak of this process may
+/// come from an earlier test.
+template <typename Function> long peakGrowthKb(Function Work) {
+  const long Before = memoryKb();
+  const pid_t Child = fork();
+  if (Child == 0) {
+    Work();
+    _exit(0);
+  }
+  rusage Usage{};
+  wait4(Child, nullptr, 0, &Usage);
+  return Usage.ru_maxrss - Before;
+}
+
+} // namespace
+
+TEST_GROUP(LargeJob) {
+  JobTracker Tracker;
+  QueueConfig Config;
+  ClockReading Now{BootInstant(Milliseconds(100000)), 1000000};
+
+  /// Returns the report of a worker on which \p Tasks tasks fit.
+  static wire::TaskReport reportOf(const std::string &Node,
+                                   std::int64_t Tasks) {
+    wire::TaskReport Report;
+    Report.set_node(Node);
+    Report.set_worker(Node + "/w#1");
+    Report.set_service("planner");
+    Report.set_milli_cores(100 * Tasks);
+    Report.set_memory_mb(1000000);
+    Report.set_complete(true);
+    Report.set_agent_life(1);
+    return Report;
+  }
+
+  wire::StepSpec &addJob(const std::string &Id, std::uint32_t Tasks) {
+    auto Spec = std::make_shared<wire::TaskJobSpec>();
+    Spec->set_id(Id);
+    Spec->set_queue("q");
+    Spec->set_service("planner");
+    Spec->set_accepted_ms(Now.UnixMs);
+    Spec->set_max_attempts(2);
+    Spec->set_priority(1);
+    Spec->set_stretch(3);
+    wire::StepSpec &Step = *Spec->add_steps();
+    Step.set_count(Tasks);
+    Step.set_milli_cores(100);
+    Step.set_estimate_ms(1000);
+    Tracker.addJob(Spec);
+    return Step;
+  }
+
+  std::size_t placed(const std::string &Id) const {
+    const TaskJob &Job = Tracker.jobs().at(JobId(Id));
+    std::size_t Count = 0;
+    for (std::size_t At = 0; At < Job.size(); ++At)
+      Count += Job.task(At).Phase == wire::TASK_PLACED ? 1 : 0;
+    return Count;
+  }
+};
+
+// Guards against a list of all waiting tasks that was copied for each of them:
+// 8,000 tasks took a coordinator over 260 MB in each round.
+TEST(LargeJob, PlansAWaitingJobInBoundedMemory) {
+  addJob("a", LargeJobTasks);
+  const long Growth =
+      peakGrowthKb([&] { Tracker.plan({reportOf("n1", 0)}, Config, Now); });
+  CHECK_TRUE_TEXT(Growth < MaxGrowthKb, std::to_string(Growth).c_str());
+}
+
+// Guards against rounds whose length and memory grow with the size of a step.
+TEST(LargeJob, PlansABoundedNumberOfTasksOfAStepPerRound) {
+  addJob("a", LargeJobTasks);
+  addJob("b", 10);
+  Tracker.plan({reportOf("n1", AmpleRoom)}, Config, Now);
+  CHECK_TRUE(placed("a") > 0);
+  CHECK_TRUE(placed("a") <= 512);
+  LONGS_EQUAL(10, placed("b"));
+}
+
+// Guards against tasks beyond the bound that no later round starts.
+TEST(LargeJob, StartsTheRemainingTasksInLaterRounds) {
+  addJob("a", 1200);
+  for (int Round = 0; Round < 10; ++Round)
+    Tracker.plan({reportOf("n1", 1200)}, Config, Now);
+  LONGS_EQUAL(1200, placed("a"));
+}
+
+// Guards against a bound that tasks which cannot start yet use up: those after
+// them in the step would wait although they could start.
+TEST(LargeJob, TasksThatWaitAfterARefusalDoNotHoldBackTheOthers) {
+  addJob("a", 1200);
+  wire::TaskReport Report = reportOf("n1", 1200);
+  for (int Round = 0; Round < 10; ++Round)
+    Tracker.plan({Report}, Config, Now);
+  for (int Task = 0; Task < 1200; ++Task) {
+    wire::RunRefusal &Refusal = *Report.add_refusals();
+    Refusal.set_task("a.0.0." + std::to_string(Task));
+    Refusal.set_run(1);
+    Refusal.set_reason(wire::REFUSED_NO_ROOM);
+    if (Task == 599)
+      Tracker.applyReport(Report, Now);
+  }
+  Now.Boot += Milliseconds(200);
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(0, placed("a"));
+  // The first 600 may start again by now, the others not yet.
+  Now.Boot += Milliseconds(150);
+  for (int Round = 0; Round < 10; ++Round)
+    Tracker.plan({Report}, Config, Now);
+  LONGS_EQUAL(600, placed("a"));
+}
