Stop the runs of failed jobs and broken gangs after a takeover

Cause: TaskJob::restore restored Failed without the stops of the runs, and a cancellation of a failed job writes nothing, so that a run whose agent could not be reached continued to its end. The remaining members of a gang of which one had ended were not stopped either.

Change: the stops follow from the stored progress: all placed runs of a failed job, and all placed members of a gang of which one waits.

Result: three of the five tests of TakeoverStops fail on the old code; all pass.

--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -64,6 +64,24 @@
   Completed = Stored.completed();
   Begun = Stored.begun();
   EndedMs = Stored.ended_ms();
+  restoreStops();
+}
+
+void TaskJob::restoreStops() {
+  std::size_t Members = 1;
+  for (std::size_t First = 0; First < Tasks.size(); First += Members) {
+    Members = step(First).gang() ? step(First).count() : 1;
+    const auto Begin = Tasks.begin() + static_cast<std::ptrdiff_t>(First);
+    const auto End = Begin + static_cast<std::ptrdiff_t>(Members);
+    // The members of a gang are placed together. One that waits has ended, and
+    // the others are being stopped.
+    const bool IsBroken = std::any_of(Begin, End, [](const TaskState &Member) {
+      return Member.Phase == wire::TASK_WAITING;
+    });
+    for (auto Task = Begin; Task != End; ++Task)
+      if (Task->Phase == wire::TASK_PLACED && (Failed || IsBroken))
+        Task->StopRequested = true;
+  }
 }
 
 wire::TaskJobProgress TaskJob::progress() const {
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -132,6 +132,8 @@
   std::int64_t Revision = 0;
 
 private:
+  /// Requests the stops that the stored progress implies.
+  void restoreStops();
   /// Returns the number of the step that a task belongs to.
   std::uint32_t stepNumber(std::size_t At) const;
 
