Leave tombstones for unknown cancelled jobs, and check the owner of a job

Cause: the cancellation of a job that the store did not hold left nothing there, so that a late write of the job (POST answered with 504) started it after DELETE had been answered with 410. A key of any workspace could read and cancel the jobs of all, and a submission under a foreign id was answered as accepted.

Change: DELETE writes baobabcove/tombstone/ID/OWNER on condition that the job is absent, and answers 410 once that is certain; the write of a job is conditional on the absence of its tombstone; the coordinator removes tombstones after the status retention. The owner is part of the tombstone's key, so that nobody can cancel the jobs of others that way.

Existing tests of JobIntake pass the caller and set the workspace of the job.

--- a/src/tasks/StoreKeys.h
+++ b/src/tasks/StoreKeys.h
@@ -24,10 +24,18 @@
 inline const std::string Progress = "baobabcove/progress/";
 /// Cancelled jobs.
 inline const std::string Cancels = "baobabcove/cancel/";
+/// Jobs that were cancelled while the store did not hold them, so that a late
+/// write of the job does not store it: "ID/OWNER". The value is the Unix time
+/// of the cancellation in milliseconds. The owner is part of the key, because a
+/// caller must not cancel jobs of others.
+inline const std::string Tombstones = "baobabcove/tombstone/";
 
 inline std::string job(const JobId &Id) { return Jobs + Id.str(); }
 inline std::string progress(const JobId &Id) { return Progress + Id.str(); }
 inline std::string cancel(const JobId &Id) { return Cancels + Id.str(); }
+inline std::string tombstone(const JobId &Id, const std::string &Owner) {
+  return Tombstones + Id.str() + "/" + Owner;
+}
 
 } // namespace baobabcove::keys
 
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -63,7 +63,8 @@
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
     : Kv(Kv), Settings(Settings), Config(std::move(Config)), Stats(Stats),
-      Tracker(Settings.RemotePenalty), Writer(Kv) {}
+      Tracker(Settings.RemotePenalty), Writer(Kv),
+      Tombstones(Kv, Settings.StatusRetention + RemovalMargin) {}
 
 TaskCoordinator::~TaskCoordinator() { stop(); }
 
@@ -349,6 +350,7 @@
         Tracker.jobs().erase(Job);
       break;
     }
+  Tombstones.sweep(Term, readClocks());
   return true;
 }
 
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -7,6 +7,7 @@
 #include "tasks/coordination/CoordinatorRole.h"
 #include "tasks/coordination/JobTracker.h"
 #include "tasks/coordination/ProgressWriter.h"
+#include "tasks/coordination/TombstoneSweeper.h"
 #include "tasks/coordination/WorkerSession.h"
 #include "tasks/intake/JobCatalog.h"
 
@@ -132,6 +133,7 @@
   Epoch Current;
   JobTracker Tracker;
   ProgressWriter Writer;
+  TombstoneSweeper Tombstones;
   /// Cancellations whose stops have not been published.
   std::vector<ReceivedCancel> UnpublishedCancels;
   BootInstant SlowRoundLoggedAt;
--- a/src/tasks/intake/JobIntake.cpp
+++ b/src/tasks/intake/JobIntake.cpp
@@ -12,6 +12,22 @@
   return failure(ResultCode::UnknownJob, "There is no job " + Id.str() + ".");
 }
 
+tl::unexpected<Error> foreignJob(const JobId &Id) {
+  return failure(ResultCode::WrongWorkspace,
+                 "Job " + Id.str() + " belongs to another workspace.");
+}
+
+Expected<void> checkAccess(const JobCaller &Caller,
+                           const wire::TaskJobSpec &Spec) {
+  if (!mayAccess(Caller, Spec))
+    return foreignJob(JobId(Spec.id()));
+  return {};
+}
+
+JobCaller submitterOf(const wire::TaskJobSpec &Spec) {
+  return {WorkspaceId(Spec.workspace()), Spec.queue()};
+}
+
 const StoreItem *findItem(const CommitResult &Result, const std::string &Key) {
   for (const StoreItem &Item : Result.Current)
     if (Item.Key == Key && Item.Revision)
@@ -23,8 +39,8 @@
 
 Expected<void> JobIntake::accept(const wire::TaskJobSpec &Spec) {
   const JobId Id(Spec.id());
-  if (Catalog.find(Id))
-    return {};
+  if (const auto Known = Catalog.find(Id))
+    return checkAccess(submitterOf(Spec), *Known->Spec);
   if (Kv.health().isUnavailable(BootClock::now()))
     return failure(
         ResultCode::StoreUnavailable,
@@ -34,6 +50,7 @@
             " ms; the job was not stored.");
   Transaction Change;
   Change.Conditions.push_back({keys::job(Id), 0});
+  Change.Conditions.push_back({keys::tombstone(Id, ownerOf(Spec)), 0});
   Change.Writes.push_back({keys::job(Id), Spec.SerializeAsString(), 0});
   const auto Result = Kv.commit(Change);
   if (Result && Result->Revision) {
@@ -42,7 +59,7 @@
     return {};
   }
   if (Result)
-    return {}; // A job with this id was accepted before.
+    return resolveConflict(Spec, *Result);
   if (Result.error().Code != ResultCode::StoreAnswerLost)
     return tl::unexpected<Error>(Result.error());
   // The write may have been applied or may still be applied. Only a read that
@@ -53,19 +70,76 @@
         LogFields("unknown commit outcome resolved by reading the job")
             .add("job", Id)
             .add("revision", Found->Revision));
-    return {};
+    return checkAccess(submitterOf(Spec), *Found->Spec);
   }
   return tl::unexpected<Error>(Result.error());
 }
 
-Expected<void> JobIntake::cancel(const JobId &Id) {
-  const auto Found = find(Id);
-  if (!Found)
-    return tl::unexpected<Error>(Found.error());
-  if (Found->Cancelled || Found->Completed || Found->Failed)
+Expected<void> JobIntake::resolveConflict(const wire::TaskJobSpec &Spec,
+                                          const CommitResult &Current) {
+  const JobId Id(Spec.id());
+  const StoreItem *Stored = findItem(Current, keys::job(Id));
+  if (!Stored)
+    return failure(ResultCode::UnknownJob,
+                   "Job " + Id.str() +
+                       " was cancelled before it was stored; submit it under "
+                       "a new id.");
+  // A job with this id was accepted before.
+  wire::TaskJobSpec Accepted;
+  if (!Accepted.ParseFromString(Stored->Value))
+    return foreignJob(Id);
+  return checkAccess(submitterOf(Spec), Accepted);
+}
+
+Expected<void> JobIntake::cancel(const JobId &Id, const JobCaller &Caller) {
+  // The job may be stored while its tombstone is being written.
+  constexpr int MaxAttempts = 2;
+  Expected<void> Outcome;
+  for (int Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
+    const auto Found = find(Id);
+    if (!Found && Found.error().Code != ResultCode::UnknownJob)
+      return tl::unexpected<Error>(Found.error());
+    if (Found) {
+      const auto Allowed = checkAccess(Caller, *Found->Spec);
+      return Allowed ? cancelStored(Id, *Found) : Allowed;
+    }
+    Outcome = leaveTombstone(Id, Caller);
+    if (Outcome.error().Code != ResultCode::CompareFailed)
+      return Outcome;
+  }
+  return failure(ResultCode::StoreAnswerLost,
+                 "Job " + Id.str() + " was stored and removed meanwhile.");
+}
+
+Expected<void> JobIntake::leaveTombstone(const JobId &Id,
+                                         const JobCaller &Caller) {
+  const std::vector<std::string> Owners = ownersFor(Caller);
+  Transaction Change;
+  Change.Conditions.push_back({keys::job(Id), 0});
+  for (const std::string &Owner : Owners)
+    Change.Writes.push_back(
+        {keys::tombstone(Id, Owner), std::to_string(wallClockMs()), 0});
+  const auto Result = Kv.commit(Change);
+  if (Result && !Result->Revision)
+    return failure(ResultCode::CompareFailed, "The job is in the store.");
+  if (!Result) {
+    if (Result.error().Code != ResultCode::StoreAnswerLost)
+      return tl::unexpected<Error>(Result.error());
+    // All tombstones of the transaction are written together.
+    const auto Written = Kv.read(keys::tombstone(Id, Owners.front()));
+    if (!Written || !*Written)
+      return tl::unexpected<Error>(Result.error());
+  }
+  LOG4CPLUS_INFO(logOf("jobs"), LogFields("tombstone stored").add("job", Id));
+  return unknownJob(Id);
+}
+
+Expected<void> JobIntake::cancelStored(const JobId &Id,
+                                       const CatalogEntry &Found) {
+  if (Found.Cancelled || Found.Completed || Found.Failed)
     return {};
   Transaction Change;
-  Change.Conditions.push_back({keys::job(Id), Found->Revision});
+  Change.Conditions.push_back({keys::job(Id), Found.Revision});
   Change.Conditions.push_back({keys::cancel(Id), 0});
   Change.Writes.push_back({keys::cancel(Id), "1", 0});
   const auto Result = Kv.commit(Change);
@@ -84,10 +158,13 @@
   return {};
 }
 
-Expected<JobStatus> JobIntake::status(const JobId &Id) {
+Expected<JobStatus> JobIntake::status(const JobId &Id,
+                                      const JobCaller &Caller) {
   const auto Found = find(Id);
   if (!Found)
     return tl::unexpected<Error>(Found.error());
+  if (const auto Allowed = checkAccess(Caller, *Found->Spec); !Allowed)
+    return tl::unexpected<Error>(Allowed.error());
   return Found->status();
 }
 
--- a/src/tasks/intake/JobIntake.h
+++ b/src/tasks/intake/JobIntake.h
@@ -4,13 +4,15 @@
 #include "baobabcove/Ids.h"
 #include "baobabcove/ResultCode.h"
 #include "store/TransactionalStore.h"
+#include "tasks/intake/JobAccess.h"
 #include "tasks/intake/JobCatalog.h"
 
 namespace baobabcove {
 
 /// Accepts and cancels jobs for clients and reports their status. Thread-safe.
 /// Every call fails with StoreUnavailable if it is certain to have had no
-/// effect, and with StoreAnswerLost if its outcome is unknown.
+/// effect, with StoreAnswerLost if its outcome is unknown, and with
+/// WrongWorkspace if the job belongs to another workspace than the caller.
 class JobIntake {
 public:
   /// Both references must outlive this object.
@@ -18,16 +20,18 @@
       : Kv(Kv), Catalog(Catalog) {}
 
   /// Stores \p Spec. Idempotent: a job is run once however often it is
-  /// submitted, and the call succeeds for a job that was accepted before.
+  /// submitted, and the call succeeds for a job that was accepted before. Fails
+  /// with UnknownJob if the job was cancelled before it was stored.
   Expected<void> accept(const wire::TaskJobSpec &Spec);
 
-  /// Cancels a job. Succeeds for a job that has already ended; fails with
-  /// UnknownJob.
-  Expected<void> cancel(const JobId &Id);
+  /// Cancels a job. Succeeds for a job that has already ended. Fails with
+  /// UnknownJob if the store does not hold the job; it will not accept it for
+  /// the status retention period then, so that a late write cannot start it.
+  Expected<void> cancel(const JobId &Id, const JobCaller &Caller);
 
   /// Returns the status of a job. Fails with UnknownJob if the store does not
   /// hold it either.
-  Expected<JobStatus> status(const JobId &Id);
+  Expected<JobStatus> status(const JobId &Id, const JobCaller &Caller);
 
   /// Returns how long the store has been unreachable.
   Milliseconds storeUnavailableFor() const {
@@ -36,6 +40,15 @@
 
 private:
   Expected<CatalogEntry> find(const JobId &Id);
+  /// Returns the outcome of a submission whose write was not carried out
+  /// because of \p Current.
+  Expected<void> resolveConflict(const wire::TaskJobSpec &Spec,
+                                 const CommitResult &Current);
+  Expected<void> cancelStored(const JobId &Id, const CatalogEntry &Found);
+  /// Leaves a tombstone for a job that the store does not hold. Fails with
+  /// UnknownJob once the tombstone is stored, and with CompareFailed if the job
+  /// has been stored in the meantime.
+  Expected<void> leaveTombstone(const JobId &Id, const JobCaller &Caller);
   Expected<CatalogEntry> readFromStore(const JobId &Id);
 
   TransactionalStore &Kv;
--- a/tests/tasks/intake/JobIntakeTest.cpp
+++ b/tests/tasks/intake/JobIntakeTest.cpp
@@ -11,11 +11,15 @@
   JobCatalog Catalog{nullptr};
   JobIntake Intake{Kv, Catalog};
   const JobId Id{"00000000000000aa"};
+  const JobCaller Owner{WorkspaceId("team"), "q"};
+  const JobCaller Other{WorkspaceId("others"), "q"};
+  const JobCaller Anonymous{WorkspaceId(), "q", true};
 
   wire::TaskJobSpec spec() {
     wire::TaskJobSpec Spec;
     Spec.set_id(Id.str());
     Spec.set_queue("q");
+    Spec.set_workspace("team");
     return Spec;
   }
 
@@ -29,7 +33,7 @@
 TEST(JobIntake, StoresAJobBeforeItIsAccepted) {
   CHECK_TRUE(Intake.accept(spec()).has_value());
   CHECK(!Kv.value(keys::job(Id)).empty());
-  CHECK(JobStatus::Pending == *Intake.status(Id));
+  CHECK(JobStatus::Pending == *Intake.status(Id, Owner));
 }
 
 TEST(JobIntake, AcceptsADuplicateIdWithoutASecondJob) {
@@ -66,33 +70,143 @@
 TEST(JobIntake, ReadsTheStoreBeforeReportingAnUnknownJob) {
   Kv.put(keys::job(Id), spec().SerializeAsString());
   setProgress(true);
-  CHECK(JobStatus::Completed == *Intake.status(Id));
+  CHECK(JobStatus::Completed == *Intake.status(Id, Owner));
   CHECK(ResultCode::UnknownJob ==
-        Intake.status(JobId("00000000000000bb")).error().Code);
+        Intake.status(JobId("00000000000000bb"), Owner).error().Code);
 }
 
 TEST(JobIntake, FailsStatusWithStoreUnavailableDuringAnOutage) {
   Kv.setFault(FakeKv::Fault::Unavailable);
-  CHECK(ResultCode::StoreUnavailable == Intake.status(Id).error().Code);
+  CHECK(ResultCode::StoreUnavailable == Intake.status(Id, Owner).error().Code);
 }
 
 TEST(JobIntake, CancelsIdempotently) {
   CHECK_TRUE(Intake.accept(spec()).has_value());
-  CHECK_TRUE(Intake.cancel(Id).has_value());
-  CHECK_TRUE(Intake.cancel(Id).has_value());
-  CHECK(JobStatus::Cancelled == *Intake.status(Id));
+  CHECK_TRUE(Intake.cancel(Id, Owner).has_value());
+  CHECK_TRUE(Intake.cancel(Id, Owner).has_value());
+  CHECK(JobStatus::Cancelled == *Intake.status(Id, Owner));
   CHECK(ResultCode::UnknownJob ==
-        Intake.cancel(JobId("00000000000000bb")).error().Code);
+        Intake.cancel(JobId("00000000000000bb"), Owner).error().Code);
 }
 
 TEST(JobIntake, ResolvesALostCancelByReadingTheKey) {
   CHECK_TRUE(Intake.accept(spec()).has_value());
   Kv.setFault(FakeKv::Fault::AnswerLost);
-  CHECK_TRUE(Intake.cancel(Id).has_value());
+  CHECK_TRUE(Intake.cancel(Id, Owner).has_value());
 }
 
 TEST(JobIntake, DoesNotAcknowledgeACancelThatIsNotStored) {
   CHECK_TRUE(Intake.accept(spec()).has_value());
   Kv.setFault(FakeKv::Fault::Delayed);
-  CHECK(ResultCode::StoreAnswerLost == Intake.cancel(Id).error().Code);
+  CHECK(ResultCode::StoreAnswerLost == Intake.cancel(Id, Owner).error().Code);
+}
+
+// Guards against a job that starts after its cancellation was answered with
+// "no such job", because the write of the job was carried out late.
+TEST(JobIntake, NeverStoresAJobThatWasCancelledBeforeItsWrite) {
+  Kv.setFault(FakeKv::Fault::Delayed);
+  CHECK(ResultCode::StoreAnswerLost == Intake.accept(spec()).error().Code);
+  Kv.setFault(FakeKv::Fault::None);
+  CHECK(ResultCode::UnknownJob == Intake.cancel(Id, Owner).error().Code);
+  Kv.applyDelayed();
+  STRCMP_EQUAL("", Kv.value(keys::job(Id)).c_str());
+  CHECK(ResultCode::UnknownJob == Intake.status(Id, Owner).error().Code);
+}
+
+// Guards against "no such job" before the tombstone is certain to be stored.
+TEST(JobIntake, ReportsAnUnknownOutcomeForADelayedTombstone) {
+  Kv.setFault(FakeKv::Fault::Delayed);
+  CHECK(ResultCode::StoreAnswerLost == Intake.cancel(Id, Owner).error().Code);
+  // The job is accepted before the tombstone is written, which then must not
+  // appear beside it.
+  Kv.setFault(FakeKv::Fault::None);
+  CHECK_TRUE(Intake.accept(spec()).has_value());
+  Kv.applyDelayed();
+  CHECK(Kv.value(keys::tombstone(Id, ownerOf(spec()))).empty());
+}
+
+TEST(JobIntake, ResolvesALostTombstoneByReadingIt) {
+  Kv.setFault(FakeKv::Fault::AnswerLost);
+  CHECK(ResultCode::UnknownJob == Intake.cancel(Id, Owner).error().Code);
+  CHECK(!Kv.value(keys::tombstone(Id, ownerOf(spec()))).empty());
+}
+
+TEST(JobIntake, FailsACancellationOfAnUnknownJobDuringAnOutage) {
+  Kv.setFault(FakeKv::Fault::Unavailable);
+  CHECK(ResultCode::StoreUnavailable == Intake.cancel(Id, Owner).error().Code);
+}
+
+// Guards against an acceptance of a job that is not stored.
+TEST(JobIntake, RefusesAJobAfterItsTombstone) {
+  CHECK(ResultCode::UnknownJob == Intake.cancel(Id, Owner).error().Code);
+  CHECK(ResultCode::UnknownJob == Intake.accept(spec()).error().Code);
+  STRCMP_EQUAL("", Kv.value(keys::job(Id)).c_str());
+}
+
+// Guards against a tombstone that is left beside a job in the store.
+TEST(JobIntake, CancelsAJobThatOnlyTheStoreHolds) {
+  Kv.put(keys::job(Id), spec().SerializeAsString());
+  CHECK_TRUE(Intake.cancel(Id, Owner).has_value());
+  CHECK(!Kv.value(keys::cancel(Id)).empty());
+  CHECK(Kv.value(keys::tombstone(Id, ownerOf(spec()))).empty());
+}
+
+// Guards against keys of one workspace that read, cancel or overwrite the jobs
+// of another.
+TEST(JobIntake, RefusesCallersOfOtherWorkspaces) {
+  CHECK_TRUE(Intake.accept(spec()).has_value());
+  JobCatalog Empty{nullptr};
+  JobIntake Elsewhere{Kv, Empty};
+  for (JobIntake *Entry : {&Elsewhere, &Intake})
+    for (const JobCaller &Caller : {Other, Anonymous}) {
+      wire::TaskJobSpec Foreign = spec();
+      Foreign.set_workspace(Caller.Workspace.str());
+      CHECK(ResultCode::WrongWorkspace == Entry->accept(Foreign).error().Code);
+      CHECK(ResultCode::WrongWorkspace ==
+            Entry->status(Id, Caller).error().Code);
+      CHECK(ResultCode::WrongWorkspace ==
+            Entry->cancel(Id, Caller).error().Code);
+    }
+  CHECK(Kv.value(keys::cancel(Id)).empty());
+  CHECK(JobStatus::Pending == *Intake.status(Id, Owner));
+}
+
+// Guards against an accepted answer whose lost write met a foreign job.
+TEST(JobIntake, RefusesAForeignIdWhoseWriteWasNotAnswered) {
+  CHECK_TRUE(Intake.accept(spec()).has_value());
+  JobCatalog Empty{nullptr};
+  JobIntake Elsewhere{Kv, Empty};
+  Kv.setFault(FakeKv::Fault::AnswerLost);
+  wire::TaskJobSpec Foreign = spec();
+  Foreign.set_workspace("others");
+  CHECK(ResultCode::WrongWorkspace == Elsewhere.accept(Foreign).error().Code);
+}
+
+// Guards against tombstones that cancel the jobs of other workspaces.
+TEST(JobIntake, TombstonesConcernTheCallersOwnJobsOnly) {
+  CHECK(ResultCode::UnknownJob == Intake.cancel(Id, Other).error().Code);
+  CHECK(ResultCode::UnknownJob == Intake.cancel(Id, Anonymous).error().Code);
+  CHECK_TRUE(Intake.accept(spec()).has_value());
+}
+
+TEST(JobIntake, JobsWithoutAKeyBelongToAllCallersOfTheirQueue) {
+  wire::TaskJobSpec Open = spec();
+  Open.clear_workspace();
+  CHECK_TRUE(Intake.accept(Open).has_value());
+  CHECK(JobStatus::Pending == *Intake.status(Id, Anonymous));
+  CHECK(JobStatus::Pending == *Intake.status(Id, Other));
+  CHECK(ResultCode::WrongWorkspace ==
+        Intake.status(Id, {WorkspaceId("team"), "another"}).error().Code);
+  CHECK_TRUE(Intake.cancel(Id, Other).has_value());
+}
+
+// Guards against a caller with a key whose cancellation does not meet the late
+// write of a job that was submitted without one.
+TEST(JobIntake, LeavesTombstonesForJobsWithoutAKeyInAnAnonymousQueue) {
+  wire::TaskJobSpec Open = spec();
+  Open.clear_workspace();
+  const JobCaller Keyed{WorkspaceId("team"), "q", true};
+  CHECK(ResultCode::UnknownJob == Intake.cancel(Id, Keyed).error().Code);
+  CHECK(ResultCode::UnknownJob == Intake.accept(Open).error().Code);
+  CHECK(ResultCode::UnknownJob == Intake.accept(spec()).error().Code);
 }
