Report an unknown outcome for keyed requests without a claim

Cause: Router::routeClaimed passed StoreUnavailable (1206, "not run") on when the claim of a key could not be read, although an earlier request with the key may have run. So did a claimed key or ticket whose agent was not reached in time (PeerNotConnected, DeadlineBeforeStart).

Change: both give OutcomeUnknown (1301).

--- a/src/entry/Router.cpp
+++ b/src/entry/Router.cpp
@@ -67,6 +67,27 @@
   return std::max(Request.Deadline - monotonicNow(), Milliseconds(0));
 }
 
+/// Returns the outcome of a request with a caller's key while the claims cannot
+/// be read or written: an earlier delivery with this key may have run.
+wire::ExecuteReply replyWithoutClaim(const Error &Err) {
+  return replyOf({ResultCode::OutcomeUnknown,
+                  "Whether an earlier request with this key ran cannot be "
+                  "determined: " +
+                      Err.Detail + " A ticket as the key needs no store."});
+}
+
+/// Returns \p Reply to a request of which an earlier delivery may have reached
+/// the agent. If this entry did not reach the agent, nothing is known of it.
+wire::ExecuteReply replyToRepeated(const wire::ExecuteReply &Reply) {
+  if (codeOf(Reply) != ResultCode::PeerNotConnected &&
+      codeOf(Reply) != ResultCode::DeadlineBeforeStart)
+    return Reply;
+  return replyOf({ResultCode::OutcomeUnknown,
+                  "The agent that may have run an earlier request with this "
+                  "key was not reached: " +
+                      Reply.detail()});
+}
+
 } // namespace
 
 Router::Router(const Settings &Options, const MemberTable &Membership,
@@ -78,7 +99,7 @@
   Budget.deposit();
   const std::string &Id = Request.Message.request_id();
   if (const auto Ticket = ClaimStore::parseTicket(Id))
-    return routePinned(Request, *Ticket);
+    return replyToRepeated(routePinned(Request, *Ticket));
   if (Request.Keyed && !Request.Message.idempotent())
     return routeClaimed(Request);
   return routeToAny(Request);
@@ -128,7 +149,8 @@
       Request.Message.service(), Workspace, {}, Request.Deadline};
   auto Current = Claims.find(Workspace, Key);
   if (!Current)
-    return replyOf(Current.error());
+    return replyWithoutClaim(Current.error());
+  const bool IsRepeated = Current->has_value();
   std::int64_t Revision = 0;
   wire::ExecuteReply Reply;
   for (int Tries = 0; Tries < MaxAttempts; ++Tries) {
@@ -141,7 +163,7 @@
       if (!didNotRun(Reply) || !isMinionSpecific(codeOf(Reply)) ||
           !Membership.find(NodeId((*Current)->Claim.node()), Holder) ||
           !withdraw(Holder, Request) || !mayRetry(Reply, Request))
-        return Reply;
+        return IsRepeated ? replyToRepeated(Reply) : Reply;
       Wanted.Excluded.insert(Holder.LastHeartbeat.node());
     }
     // The slot is acquired only to choose the agent; routePinned takes its own.
@@ -152,7 +174,7 @@
     Pool.release(Agent->LastHeartbeat.node(), Workspace,
                  DeliveryResult::Refused, Milliseconds(0), -1);
     if (!Claimed)
-      return replyOf(Claimed.error());
+      return replyWithoutClaim(Claimed.error());
     *Current = *Claimed;
   }
   return Reply;
