--- a/src/tasks/planning/VictimCost.cpp
+++ b/src/tasks/planning/VictimCost.cpp
@@ -51,6 +51,19 @@
   }
 }
 
+VictimCosts
+VictimCosts::restrictedTo(const std::vector<std::size_t> &Chosen) const {
+  VictimCosts Costs(Runs);
+  for (std::size_t R : Chosen) {
+    const std::string &Step = Runs[R].LongRunningStep;
+    if (Step.empty())
+      continue;
+    Costs.MayMiss[Step] = MayMiss.at(Step);
+    Costs.RunsLeft[Step] = RunsLeft.at(Step);
+  }
+  return Costs;
+}
+
 std::pair<VictimCost, std::optional<std::size_t>>
 VictimCosts::untilFits(std::size_t Worker, Resources Available,
                        const Resources &Need,
@@ -59,7 +72,7 @@
   for (std::size_t R = 0; R < Runs.size(); ++R)
     if (Runs[R].Worker == Worker && !Removed[R])
       Left.push_back(R);
-  VictimCosts Costs = *this;
+  VictimCosts Costs = restrictedTo(Left);
   VictimCost Total;
   std::optional<std::size_t> First;
   while (!Available.covers(Need)) {
@@ -69,11 +82,19 @@
         });
     if (Next == Left.end())
       return {};
-    First = First.value_or(*Next);
-    Total += Costs.costOf(*Next);
-    Costs.take(*Next);
-    Available += Runs[*Next].Usage;
-    Left.erase(Next);
+    const std::size_t Victim = *Next;
+    First = First.value_or(Victim);
+    Total += Costs.costOf(Victim);
+    Costs.take(Victim);
+    // The members of a gang end together.
+    const auto Ending =
+        std::partition(Left.begin(), Left.end(), [&](std::size_t R) {
+          return R != Victim &&
+                 (Runs[R].Gang.empty() || Runs[R].Gang != Runs[Victim].Gang);
+        });
+    for (auto R = Ending; R != Left.end(); ++R)
+      Available += Runs[*R].Usage;
+    Left.erase(Ending, Left.end());
   }
   return {Total, First};
 }
--- a/src/tasks/planning/VictimCost.h
+++ b/src/tasks/planning/VictimCost.h
@@ -51,6 +51,10 @@
             const std::vector<bool> &Removed) const;
 
 private:
+  explicit VictimCosts(const std::vector<PreemptibleRun> &Runs) : Runs(Runs) {}
+  /// Returns the costs of the runs in \p Chosen only, whose copy is cheap.
+  VictimCosts restrictedTo(const std::vector<std::size_t> &Chosen) const;
+
   const std::vector<PreemptibleRun> &Runs;
   std::map<std::string, std::int64_t> MayMiss;
   /// Number of runs that are left to preempt, by key of a long-running step.
