--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -13,6 +13,11 @@
          std::to_string(Name.Step) + "." + std::to_string(Name.Index);
 }
 
+std::string stepKey(const TaskName &Name) {
+  return Name.Job.str() + "." + std::to_string(Name.Occurrence) + "." +
+         std::to_string(Name.Step);
+}
+
 std::optional<TaskName> parseTaskName(const std::string &Text) {
   const Poco::StringTokenizer Parts(Text, ".");
   if (Parts.count() != 4)
@@ -53,11 +58,30 @@
     Task.Crashes = CrashHistory::fromRecord(Record.crashes());
     Task.Lost = Record.lost();
     Task.StopRequested = Task.Lost;
+    Task.Preempted = Record.preempted();
   }
   Failed = Stored.failed();
   Completed = Stored.completed();
   Begun = Stored.begun();
   EndedMs = Stored.ended_ms();
+  restoreStops();
+}
+
+void TaskJob::restoreStops() {
+  std::size_t Members = 1;
+  for (std::size_t First = 0; First < Tasks.size(); First += Members) {
+    Members = step(First).gang() ? step(First).count() : 1;
+    const auto Begin = Tasks.begin() + static_cast<std::ptrdiff_t>(First);
+    const auto End = Begin + static_cast<std::ptrdiff_t>(Members);
+    // The members of a gang are placed together. One that waits has ended, and
+    // the others are being stopped.
+    const bool IsBroken = std::any_of(Begin, End, [](const TaskState &Member) {
+      return Member.Phase == wire::TASK_WAITING;
+    });
+    for (auto Task = Begin; Task != End; ++Task)
+      if (Task->Phase == wire::TASK_PLACED && (Failed || IsBroken))
+        Task->StopRequested = true;
+  }
 }
 
 wire::TaskJobProgress TaskJob::progress() const {
@@ -76,6 +100,7 @@
     if (Task.Phase == wire::TASK_PLACED)
       Record.set_worker(Task.Worker.str());
     Record.set_lost(Task.Lost);
+    Record.set_preempted(Task.Preempted);
     Record.set_failures(Task.Failures);
     if (Task.Phase != wire::TASK_DONE)
       Record.set_checkpoint(Task.Checkpoint);
