Store the progress of large jobs in pages, and refuse jobs that cannot be held

Cause: all tasks of a job were one value of the store, which may have 1 MiB at most: a job of more than about 10,000 tasks could never store its progress, and each changed task of a job of 8,000 wrote 800 KB, which every entry read. Change: the tasks of a job with more than 500 are stored in pages of 500 under a prefix of their own, which only a coordinator reads; only changed pages are written, all of a job in one transaction. A job of more than 10,000 tasks, the most that a transaction holds, is refused with JobTooLarge (1406) before it is stored. Smaller jobs are stored as before.

--- a/include/baobabcove/ResultCode.h
+++ b/include/baobabcove/ResultCode.h
@@ -47,6 +47,7 @@
   JobFailed = 1403,
   JobOutcomeUnknown = 1404,
   JobCancelled = 1405,
+  JobTooLarge = 1406,
   ConfigurationInvalid = 1501,
   ConfigurationConflict = 1502,
   SettingsInvalid = 1503,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -72,6 +72,8 @@
       {C::JobOutcomeUnknown, "JobOutcomeUnknown", Unknown, 200,
        "Check the job's results before submitting it again."},
       {C::JobCancelled, "JobCancelled", Answered, 200, "Nothing."},
+      {C::JobTooLarge, "JobTooLarge", NotRun, 422,
+       "Divide it into jobs of at most 10,000 tasks."},
       {C::ConfigurationInvalid, "ConfigurationInvalid", NotRun, 422,
        "Correct the files as the report says and apply again."},
       {C::ConfigurationConflict, "ConfigurationConflict", NotRun, 409,
--- a/src/tasks/StoreKeys.h
+++ b/src/tasks/StoreKeys.h
@@ -22,11 +22,18 @@
 inline const std::string Jobs = "baobabcove/job/";
 /// Progress of jobs, written by the coordinator only.
 inline const std::string Progress = "baobabcove/progress/";
+/// Pages of the progress of large jobs, "ID/NUMBER", written with the progress
+/// of the job. Outside of All: entries do not need them, and a page changes
+/// with each of its tasks.
+inline const std::string ProgressPages = "baobabcove-progress/";
 /// Cancelled jobs.
 inline const std::string Cancels = "baobabcove/cancel/";
 
 inline std::string job(const JobId &Id) { return Jobs + Id.str(); }
 inline std::string progress(const JobId &Id) { return Progress + Id.str(); }
+inline std::string progressPage(const JobId &Id, std::size_t Number) {
+  return ProgressPages + Id.str() + "/" + std::to_string(Number);
+}
 inline std::string cancel(const JobId &Id) { return Cancels + Id.str(); }
 
 } // namespace baobabcove::keys
--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -24,6 +24,13 @@
   return TaskName{JobId(Parts[0]), Numbers[0], Numbers[1], Numbers[2]};
 }
 
+std::uint64_t taskCount(const wire::TaskJobSpec &Spec) {
+  std::uint64_t Count = 0;
+  for (const wire::StepSpec &Step : Spec.steps())
+    Count += Step.count();
+  return Count * std::max<std::uint64_t>(1, Spec.repeat_count());
+}
+
 Milliseconds TaskState::seenAlive() const {
   return Listed ? LastListedAt - FirstListedAt : Milliseconds(0);
 }
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -15,6 +15,14 @@
 
 namespace baobabcove {
 
+/// Largest number of tasks of a job, over all its occurrences. The progress of
+/// such a job fits into one transaction of the store, and its tasks take about
+/// 4 MB in each entry.
+constexpr std::uint64_t MaxTasksPerJob = 10000;
+
+/// Returns the number of tasks of all occurrences of a job.
+std::uint64_t taskCount(const wire::TaskJobSpec &Spec);
+
 /// Identifies one task of one occurrence of a job.
 struct TaskName {
   JobId Job;
--- /dev/null
+++ b/src/tasks/coordination/ProgressPages.cpp
@@ -0,0 +1,48 @@
+#include "tasks/coordination/ProgressPages.h"
+
+#include "tasks/StoreKeys.h"
+
+namespace baobabcove {
+
+ProgressRecords progressRecords(const TaskJob &Job) {
+  wire::TaskJobProgress Progress = Job.progress();
+  ProgressRecords Records;
+  const std::size_t Pages = progressPages(Job.size());
+  if (Pages == 0) {
+    Records.Head = Progress.SerializeAsString();
+    return Records;
+  }
+  std::vector<wire::TaskJobProgress> Split(Pages);
+  for (wire::TaskRecord &Record : *Progress.mutable_tasks())
+    if (const auto At = Job.position(
+            {Job.id(), Record.occurrence(), Record.step(), Record.index()}))
+      *Split[*At / TasksPerProgressPage].add_tasks() = std::move(Record);
+  Progress.clear_tasks();
+  Records.Head = Progress.SerializeAsString();
+  for (const wire::TaskJobProgress &Page : Split)
+    Records.Pages.push_back(Page.SerializeAsString());
+  return Records;
+}
+
+std::map<JobId, StoredProgress>
+readProgress(const std::vector<StoreItem> &Items,
+             const std::vector<StoreItem> &Pages) {
+  std::map<JobId, StoredProgress> Found;
+  for (const StoreItem &Item : Items) {
+    wire::TaskJobProgress Head;
+    if (Item.Key.rfind(keys::Progress, 0) == 0 &&
+        Head.ParseFromString(Item.Value))
+      Found[JobId(Item.Key.substr(keys::Progress.size()))] = {std::move(Head),
+                                                              Item.Revision};
+  }
+  for (const StoreItem &Item : Pages) {
+    const std::string Name = Item.Key.substr(keys::ProgressPages.size());
+    const auto Job = Found.find(JobId(Name.substr(0, Name.find('/'))));
+    wire::TaskJobProgress Page;
+    if (Job != Found.end() && Page.ParseFromString(Item.Value))
+      Job->second.Progress.mutable_tasks()->MergeFrom(Page.tasks());
+  }
+  return Found;
+}
+
+} // namespace baobabcove
--- a/src/tasks/coordination/ProgressWriter.cpp
+++ b/src/tasks/coordination/ProgressWriter.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-/// The store accepts 32 entries per transaction: one condition on the role key,
-/// and one condition and one write per job.
-constexpr std::size_t JobsPerWrite = 15;
+/// The store accepts this many entries per transaction: one condition on the
+/// role key, and for each job one condition, one write, and one for each page.
+constexpr std::size_t MaxEntries = 32;
+static_assert(3 + progressPages(MaxTasksPerJob) <= MaxEntries);
 
 /// Returns the revision of \p Key among the current items, or zero if it is
 /// absent.
@@ -45,30 +46,40 @@
 WriteOutcome ProgressWriter::writeBatch(const CoordinatorTerm &Term,
                                         std::map<JobId, TaskJob> &Jobs,
                                         std::set<JobId> &Dirty) {
+  if (Term.Number != PagesTerm) {
+    PagesTerm = Term.Number;
+    StoredPages.clear();
+  }
   Transaction Change;
   Change.Conditions.push_back({keys::Coordinator, Term.Revision});
-  std::map<JobId, std::string> Values;
+  std::map<JobId, PendingRecords> Written;
   for (auto Id = Dirty.begin(); Id != Dirty.end();) {
     const auto Job = Jobs.find(*Id);
     if (Job == Jobs.end()) {
       Id = Dirty.erase(Id);
       continue;
     }
-    if (Values.size() == JobsPerWrite)
+    PendingRecords Pending = pendingRecords(Job->second);
+    // All pages of a job are written at once, so that a successor never sees a
+    // part of a gang placed.
+    if (Change.size() + 2 + Pending.ChangedPages.size() > MaxEntries &&
+        !Written.empty())
       break;
     const std::string Key = keys::progress(*Id);
-    std::string Value = Job->second.progress().SerializeAsString();
     Change.Conditions.push_back({Key, Job->second.Revision});
-    Change.Writes.push_back({Key, Value, 0});
-    Values.emplace(*Id, std::move(Value));
+    Change.Writes.push_back({Key, Pending.Records.Head, 0});
+    for (std::size_t Page : Pending.ChangedPages)
+      Change.Writes.push_back(
+          {keys::progressPage(*Id, Page), Pending.Records.Pages[Page], 0});
+    Written.emplace(*Id, std::move(Pending));
     ++Id;
   }
-  if (Values.empty())
+  if (Written.empty())
     return WriteOutcome::Written;
   const auto Result = Kv.commit(Change);
   if (!Result) {
     LOG4CPLUS_WARN(logOf("record"), LogFields("progress not written")
-                                        .add("jobs", Values.size())
+                                        .add("jobs", Written.size())
                                         .add("epoch", Term.Number)
                                         .add("why", Result.error().Detail));
     return WriteOutcome::Retry;
@@ -76,30 +87,49 @@
   if (!Result->Revision &&
       revisionOf(*Result, keys::Coordinator) != Term.Revision)
     return WriteOutcome::RoleLost;
-  for (const auto &[Id, Value] : Values) {
+  for (auto &[Id, Pending] : Written) {
     TaskJob &Job = Jobs.at(Id);
     if (Result->Revision) {
       Job.Revision = *Result->Revision;
       Dirty.erase(Id);
+      if (!Pending.Records.Pages.empty())
+        StoredPages[Id] = std::move(Pending.Records.Pages);
       continue;
     }
     const std::string Key = keys::progress(Id);
     Job.Revision = revisionOf(*Result, Key);
     const std::string *Stored = valueOf(*Result, Key);
-    if (Stored && *Stored == Value)
+    // The head of a job with pages does not tell which pages are stored.
+    if (Stored && *Stored == Pending.Records.Head &&
+        Pending.Records.Pages.empty())
       Dirty.erase(Id);
+    StoredPages.erase(Id);
   }
   return WriteOutcome::Written;
 }
 
+ProgressWriter::PendingRecords
+ProgressWriter::pendingRecords(const TaskJob &Job) const {
+  PendingRecords Pending{progressRecords(Job), {}};
+  const auto Known = StoredPages.find(Job.id());
+  for (std::size_t Page = 0; Page < Pending.Records.Pages.size(); ++Page)
+    if (Known == StoredPages.end() ||
+        Known->second[Page] != Pending.Records.Pages[Page])
+      Pending.ChangedPages.push_back(Page);
+  return Pending;
+}
+
 WriteOutcome ProgressWriter::remove(const CoordinatorTerm &Term,
-                                    const JobId &Id) {
+                                    const JobId &Id, std::size_t Tasks) {
   Transaction Change;
   Change.Conditions.push_back({keys::Coordinator, Term.Revision});
   Change.Removals = {keys::job(Id), keys::progress(Id), keys::cancel(Id)};
+  for (std::size_t Page = 0; Page < progressPages(Tasks); ++Page)
+    Change.Removals.push_back(keys::progressPage(Id, Page));
   const auto Result = Kv.commit(Change);
   if (!Result)
     return WriteOutcome::Retry;
+  StoredPages.erase(Id);
   return Result->Revision ? WriteOutcome::Written : WriteOutcome::RoleLost;
 }
 
--- a/src/tasks/coordination/ProgressWriter.h
+++ b/src/tasks/coordination/ProgressWriter.h
@@ -4,6 +4,7 @@
 #include "store/TransactionalStore.h"
 #include "tasks/TaskJob.h"
 #include "tasks/coordination/CoordinatorRole.h"
+#include "tasks/coordination/ProgressPages.h"
 
 #include <map>
 #include <set>
@@ -34,15 +35,28 @@
   WriteOutcome write(const CoordinatorTerm &Term,
                      std::map<JobId, TaskJob> &Jobs, std::set<JobId> &Dirty);
 
-  /// Removes all keys of \p Id.
-  WriteOutcome remove(const CoordinatorTerm &Term, const JobId &Id);
+  /// Removes all keys of \p Id, which has \p Tasks tasks.
+  WriteOutcome remove(const CoordinatorTerm &Term, const JobId &Id,
+                      std::size_t Tasks);
 
 private:
+  /// The records of one job that a batch writes.
+  struct PendingRecords {
+    ProgressRecords Records;
+    /// Numbers of the pages that are not in the store yet.
+    std::vector<std::size_t> ChangedPages;
+  };
+
+  PendingRecords pendingRecords(const TaskJob &Job) const;
   WriteOutcome writeBatch(const CoordinatorTerm &Term,
                           std::map<JobId, TaskJob> &Jobs,
                           std::set<JobId> &Dirty);
 
   TransactionalStore &Kv;
+  /// The term in which the pages below were written.
+  Epoch PagesTerm;
+  /// Pages that are known to be in the store, by job.
+  std::map<JobId, std::vector<std::string>> StoredPages;
 };
 
 } // namespace baobabcove
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -190,7 +190,9 @@
     Current = Term.Number;
   }
   const auto All = Kv.list(keys::All);
-  if (!All) {
+  const auto Pages =
+      All ? Kv.list(keys::ProgressPages) : Expected<StoreChanges>(All);
+  if (!All || !Pages) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Current = Epoch();
     HasWork = true;
@@ -204,13 +206,8 @@
     if (Item.Key.rfind(keys::Jobs, 0) == 0 && Spec->ParseFromString(Item.Value))
       Tracker.addJob(std::move(Spec));
   }
-  for (const StoreItem &Item : All->Items) {
-    wire::TaskJobProgress Stored;
-    if (Item.Key.rfind(keys::Progress, 0) == 0 &&
-        Stored.ParseFromString(Item.Value))
-      Tracker.restore(JobId(Item.Key.substr(keys::Progress.size())), Stored,
-                      Item.Revision);
-  }
+  for (auto &[Id, Stored] : readProgress(All->Items, Pages->Items))
+    Tracker.restore(Id, Stored.Progress, Stored.Revision);
   for (const StoreItem &Item : All->Items)
     if (Item.Key.rfind(keys::Cancels, 0) == 0)
       Tracker.cancel(JobId(Item.Key.substr(keys::Cancels.size())), Now);
@@ -345,7 +342,8 @@
       wallClockMs() - (Settings.StatusRetention + RemovalMargin).count();
   for (auto Job = Tracker.jobs().begin(); Job != Tracker.jobs().end(); ++Job)
     if (Job->second.EndedMs && Job->second.EndedMs < RemoveBefore) {
-      if (Writer.remove(Term, Job->first) == WriteOutcome::Written)
+      if (Writer.remove(Term, Job->first, Job->second.size()) ==
+          WriteOutcome::Written)
         Tracker.jobs().erase(Job);
       break;
     }
--- a/src/tasks/intake/JobIntake.cpp
+++ b/src/tasks/intake/JobIntake.cpp
@@ -25,6 +25,11 @@
   const JobId Id(Spec.id());
   if (Catalog.find(Id))
     return {};
+  if (const std::uint64_t Tasks = taskCount(Spec); Tasks > MaxTasksPerJob)
+    return failure(ResultCode::JobTooLarge,
+                   "The job has " + std::to_string(Tasks) +
+                       " tasks, more than the limit of " +
+                       std::to_string(MaxTasksPerJob) + ".");
   if (Kv.health().isUnavailable(BootClock::now()))
     return failure(
         ResultCode::StoreUnavailable,
--- a/tests/tasks/intake/JobIntakeTest.cpp
+++ b/tests/tasks/intake/JobIntakeTest.cpp
@@ -32,6 +32,21 @@
   CHECK(JobStatus::Pending == *Intake.status(Id));
 }
 
+// Guards against a job whose progress does not fit into a transaction of the
+// store: it would be accepted and never run.
+TEST(JobIntake, RefusesAJobThatCanNeverBeHeld) {
+  wire::TaskJobSpec Large = spec();
+  Large.add_steps()->set_count(1000);
+  Large.set_repeat_count(11);
+  const auto Refused = Intake.accept(Large);
+  CHECK_FALSE(Refused.has_value());
+  CHECK(ResultCode::JobTooLarge == Refused.error().Code);
+  CHECK(Outcome::NotRun == resultInfo(Refused.error().Code).RunOutcome);
+  STRCMP_EQUAL("", Kv.value(keys::job(Id)).c_str());
+  Large.set_repeat_count(10);
+  CHECK_TRUE(Intake.accept(Large).has_value());
+}
+
 TEST(JobIntake, AcceptsADuplicateIdWithoutASecondJob) {
   JobCatalog Other{nullptr};
   JobIntake OtherIntake{Kv, Other};
