Learn run times and speeds of workers in src/runtime_model

Declared durations are off by a factor of up to ten, 3 % of tasks take seven times as long, and workers run at 0.7 to 1.7 of the nominal speed. The mean by queue follows neither.

RunTimeModel keeps moving moments of the logarithms of durations by queue, image, workspace and size, limits outliers, mixes rows with few samples with the coarser ones, and weights the declared duration by its past errors. WorkerSpeeds takes the median over steps of expected to actual duration; SiblingRuns compares the tasks of a step on different workers, which tells slow workers from long tasks. RunPace extrapolates from the percent of a run. The tables are bounded.

RunTimePredictor uses the same moments and history (DurationHistory) with its own priors and without limits, so that its results do not change.

unit-tests -sg RunTimeModel, DurationEstimate, RunPace, WorkerSpeeds: pass.

--- a/src/scheduler/RunTimePredictor.cpp
+++ b/src/scheduler/RunTimePredictor.cpp
@@ -11,46 +11,17 @@
 /// Assumed run time when nothing is declared or known.
 constexpr double DefaultRunMs = 600000;
 constexpr std::int64_t MinRunMs = 1000;
-/// Window of the moving moments; an older sample loses weight.
-constexpr std::uint64_t MaxSamples = 32;
 /// Prior variances of logarithms: of run times within a class, and of the
 /// ratio of run time to declared run time.
-constexpr double PriorRunVariance = 1;
-constexpr double PriorDeclarationVariance = 0.5;
-constexpr double MinVariance = 0.01;
-/// Number of samples that the prior variance counts as.
-constexpr double PriorSamples = 3;
-
-/// Returns the weighted mean of the prior and the observed variance.
-double smoothedVariance(double Prior, double Observed, std::uint64_t Count) {
-  const double Weight = static_cast<double>(Count);
-  const double Blend =
-      (Prior * PriorSamples + Observed * Weight) / (PriorSamples + Weight);
-  return std::max(Blend, MinVariance);
-}
+constexpr DurationPriors Priors{1, 0.5, 0};
 
 } // namespace
 
-void RunTimePredictor::Moments::add(double Value) {
-  Count = std::min(Count + 1, MaxSamples);
-  const double Share = 1.0 / static_cast<double>(Count);
-  const double Offset = Value - Mean;
-  Mean += Share * Offset;
-  Variance = (1 - Share) * (Variance + Share * Offset * Offset);
-}
+RunTimePredictor::RunTimePredictor() : Histories(MaxClasses) {}
 
 void RunTimePredictor::addSample(const JobInfo &Job, Milliseconds Run) {
-  const Key Name{Job.Workspace, Job.Class};
-  if (Histories.size() >= MaxClasses && Histories.count(Name) == 0) {
-    const auto Oldest = std::min_element(
-        Histories.begin(), Histories.end(), [](const auto &L, const auto &R) {
-          return L.second.LastUsed < R.second.LastUsed;
-        });
-    Histories.erase(Oldest);
-  }
-  ClassHistory &History = Histories[Name];
-  History.LastUsed = ++UseCounter;
-  const double Log = std::log(std::max(1.0, static_cast<double>(Run.count())));
+  DurationHistory &History = Histories.update(Key{Job.Workspace, Job.Class});
+  const double Log = logOfDuration(Run);
   History.Run.add(Log);
   if (Job.DeclaredRun.count() > 0)
     History.DeclarationError.add(
@@ -63,20 +34,11 @@
   const double DeclaredMs =
       Declared ? static_cast<double>(Job.DeclaredRun.count()) : DefaultRunMs;
   double Log = std::log(DeclaredMs);
-  const auto Known = Histories.find({Job.Workspace, Job.Class});
-  if (Known != Histories.end()) {
-    const ClassHistory &History = Known->second;
-    const double ClassWeight =
-        1 / smoothedVariance(PriorRunVariance, History.Run.Variance,
-                             History.Run.Count);
-    const double DeclaredWeight =
-        Declared ? 1 / smoothedVariance(PriorDeclarationVariance,
-                                        History.DeclarationError.Variance,
-                                        History.DeclarationError.Count)
-                 : 0;
-    Log = (History.Run.Mean * ClassWeight +
-           (Log + History.DeclarationError.Mean) * DeclaredWeight) /
-          (ClassWeight + DeclaredWeight);
+  if (const DurationHistory *Known =
+          Histories.find(Key{Job.Workspace, Job.Class})) {
+    const auto Estimate = Known->estimate(
+        Declared ? std::make_optional(Log) : std::nullopt, Priors);
+    Log = Estimate->LogMean;
   }
   auto PredictedMs = static_cast<std::int64_t>(std::exp(Log));
   // A job that exceeds its prediction is expected to run half as long again.
--- a/src/scheduler/RunTimePredictor.h
+++ b/src/scheduler/RunTimePredictor.h
@@ -2,8 +2,10 @@
 #define BAOBABCOVE_SCHEDULER_RUNTIMEPREDICTOR_H
 
 #include "baobabcove/Scheduler.h"
+#include "runtime_model/BoundedTable.h"
+#include "runtime_model/DurationHistory.h"
 
-#include <map>
+#include <string>
 #include <utility>
 
 namespace baobabcove {
@@ -14,6 +16,8 @@
 /// the least recently updated one is dropped.
 class RunTimePredictor {
 public:
+  RunTimePredictor();
+
   /// Records that a job of the class succeeded after the run time \p Run.
   void addSample(const JobInfo &Job, Milliseconds Run);
 
@@ -22,27 +26,9 @@
   Milliseconds predict(const JobInfo &Job, Milliseconds Attained) const;
 
 private:
-  /// Moving mean and variance of logarithms; newer samples weigh more.
-  struct Moments {
-    double Mean = 0;
-    double Variance = 0;
-    std::uint64_t Count = 0;
-
-    void add(double Value);
-  };
-
-  struct ClassHistory {
-    /// Logarithms of run times.
-    Moments Run;
-    /// Logarithms of the ratio of run time to declared run time.
-    Moments DeclarationError;
-    /// Value of UseCounter at the last sample.
-    std::uint64_t LastUsed = 0;
-  };
   using Key = std::pair<WorkspaceId, std::string>;
 
-  std::map<Key, ClassHistory> Histories;
-  std::uint64_t UseCounter = 0;
+  BoundedTable<Key, DurationHistory> Histories;
 };
 
 } // namespace baobabcove
