Judge stalls and durations of tasks by what earlier runs took

A run was stalled after 1.6 s without a new percent. A task of more than 160 s without checkpoints was therefore stopped and restarted indefinitely, and slow tasks were moved although they made progress.

The limit is now four times the time for one percent at the pace of the run or, before there is one, twice that of a duration that few tasks exceed (the 99.9 % quantile or seven times the median); never less than 1.6 s. It doubles each time that a stall moves the task. The cost of a move uses the pace.

Samples are normalized to the worker's speed and to locality, one for each gang, and include runs that were resumed from a checkpoint.

--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -3,6 +3,7 @@
 
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
+#include "runtime_model/RunPace.h"
 #include "tasks.pb.h"
 #include "tasks/WorkerIncarnation.h"
 #include "tasks/crashes/CrashAttribution.h"
@@ -56,6 +57,12 @@
   BootInstant LastListedAt{};
   std::uint32_t Percent = 0;
   BootInstant PercentChangedAt{};
+  RunPace Pace;
+  /// Percent at which the pace last contributed to the speed of the worker;
+  /// zero if it has not.
+  std::uint32_t PaceUsedAt = 0;
+  /// Number of runs that were moved because they were stalled.
+  std::uint32_t StallMoves = 0;
   /// When the last run was gone; zero before the first.
   BootInstant WaitingSince{};
 
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -134,6 +134,7 @@
       expireLeases(NodeId(Report.node()), Now);
     return;
   }
+  RunTimes.noteWorker(Report);
   adoptIncarnation(Report, Now);
   applyRunning(Report, Incarnation, Now);
   applyEnds(Report, Incarnation, Now);
@@ -153,12 +154,16 @@
       Task->PercentChangedAt = Now.Boot;
     Task->Percent = Run.percent();
     // After a takeover the start time of the run is unknown.
-    if (Task->PlacedAt == BootInstant{})
+    if (Task->PlacedAt == BootInstant{}) {
       Task->PlacedAt = Now.Boot;
+      Task->Pace = RunPace(!Task->Checkpoint.empty());
+    }
+    Task->Pace.note(Run.percent(), Now.Boot);
     if (!Task->Listed)
       Task->FirstListedAt = Now.Boot;
     Task->Listed = true;
     Task->LastListedAt = Now.Boot;
+    RunTimes.noteProgress(*At.Job, At.Task);
     noteSurvival(At);
     if (!Run.checkpoint().empty())
       updateCheckpoint(At, Run.checkpoint());
@@ -228,10 +233,7 @@
   switch (End.ending()) {
   case wire::RUN_DONE:
     Quarantine.noteSuccess(Node);
-    if (Task.Checkpoint.empty())
-      Durations.add(
-          At.Job->spec().queue(),
-          std::chrono::duration_cast<Milliseconds>(Now.Boot - Task.PlacedAt));
+    RunTimes.noteDone(*At.Job, At.Task, Now.Boot);
     if (Step.long_running())
       requeue(At, Now, Milliseconds(0));
     else
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -5,7 +5,7 @@
 #include "tasks.pb.h"
 #include "tasks/QueueConfig.h"
 #include "tasks/TaskJob.h"
-#include "tasks/planning/DurationEstimator.h"
+#include "tasks/coordination/TaskRunTimes.h"
 #include "tasks/planning/TaskPlanner.h"
 #include "tasks/planning/WorkerQuarantine.h"
 
@@ -39,8 +39,8 @@
 /// reports, cancellations and plans to them. Performs no I/O. Not thread-safe.
 class JobTracker {
 public:
-  explicit JobTracker(double RemotePenalty = 3)
-      : RemotePenalty(RemotePenalty) {}
+  explicit JobTracker(const RunTimeSettings &RunTimes = {})
+      : RunTimes(RunTimes) {}
 
   /// Removes all jobs and the state of their runs.
   void clear();
@@ -89,6 +89,8 @@
   }
   const std::map<JobId, TaskJob> &jobs() const { return Jobs; }
 
+  TaskRunTimes &runTimes() { return RunTimes; }
+
 private:
   /// Refers to one task of a job.
   struct TaskRef {
@@ -175,7 +177,6 @@
   void applyPlan(const TaskPlan &Plan, const PlanInput &Input,
                  const ClockReading &Now);
 
-  double RemotePenalty;
   std::map<JobId, TaskJob> Jobs;
   std::map<NodeId, TaskRefs> Placed;
   /// Whether tasks may have been placed, or jobs removed, since the index was
@@ -193,8 +194,6 @@
   std::map<WorkerIncarnation, std::uint64_t> AcknowledgedEnds;
   /// The latest incarnation that reported that it is draining, by node.
   std::map<NodeId, WorkerIncarnation> DrainingWorkers;
-  double completedMs(const TaskJob &Job, std::size_t At) const;
-
   /// Workers reserved by the last plan, by the unit's first task.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
@@ -202,7 +201,7 @@
   std::size_t ReachableWorkers = 0;
   /// Units that the last plan isolated, by their first task.
   std::set<std::pair<JobId, std::size_t>> IsolatedUnits;
-  DurationEstimator Durations;
+  TaskRunTimes RunTimes;
   /// Number and total size of the jobs of a queue; the size is in core-seconds.
   struct WorkSums {
     double Jobs = 0;
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -224,9 +224,7 @@
   JobForecast Forecast;
   for (int S = 0; S < Spec.steps_size(); ++S) {
     const wire::StepSpec &Step = Spec.steps(S);
-    const auto DurationMs = double(
-        Durations.expected(Spec.queue(), Milliseconds(Step.estimate_ms()))
-            .count());
+    const auto DurationMs = double(RunTimes.expected(Spec, Step).count());
     double EarlierMs = 0;
     double RemainingEarlierMs = 0;
     for (std::uint32_t Earlier : Step.after()) {
@@ -296,8 +294,7 @@
   const JobForecast Forecast = forecastOf(Job, Occurrence, Now);
   Unit.Rank = Guaranteed ? GuaranteedRank + double(Job.spec().accepted_ms())
                          : rankOf(Job, Forecast);
-  const auto Duration = Durations.expected(
-      Job.spec().queue(), Milliseconds(Unit.Step->estimate_ms()));
+  const auto Duration = RunTimes.expected(Job.spec(), *Unit.Step);
   const auto WaitedMs =
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
   Unit.MayPreempt = Guaranteed && WaitedMs >= ReclaimDelay.count();
@@ -382,6 +379,8 @@
     Task.PlacedAt = Now.Boot;
     Task.OrderedByAgent = Input.Workers[Start.Worker].AgentIncarnation;
     Task.Listed = false;
+    Task.Pace = RunPace(!Task.Checkpoint.empty());
+    Task.PaceUsedAt = 0;
     Task.StopRequested = false;
     Task.Lost = false;
     Job.Begun = true;
--- a/src/tasks/coordination/JobTrackerProgress.cpp
+++ b/src/tasks/coordination/JobTrackerProgress.cpp
@@ -14,9 +14,9 @@
 /// production sites take a checkpoint every 0.5 to 2 s.
 constexpr Milliseconds CheckpointPeriod{1000};
 
-/// A run without progress for this long is stalled. Reports arrive twice a
-/// second, and the slowest tasks of the production sites, on a slow worker away
-/// from their data, advance by one percent in this time.
+/// No run is stalled before it has made no progress for this long. Reports
+/// arrive twice a second. Tasks of more than 160 s need longer for one percent;
+/// their limit follows from their pace and expected duration.
 constexpr Milliseconds StallTimeout{1600};
 /// A worker with stalled runs gets no new task for this long.
 constexpr Milliseconds StallQuarantine{2500};
@@ -27,12 +27,6 @@
 
 } // namespace
 
-double JobTracker::completedMs(const TaskJob &Job, std::size_t At) const {
-  const auto Whole = Durations.expected(
-      Job.spec().queue(), Milliseconds(Job.step(At).estimate_ms()));
-  return double(Whole.count()) * double(Job.task(At).Percent) / 100;
-}
-
 void JobTracker::moveStalledRuns(const ClockReading &Now) {
   for (auto &[Id, Job] : Jobs) {
     if (Job.EndedMs)
@@ -49,19 +43,24 @@
           Now.Boot - Task.LastListedAt > StallTimeout ||
           Task.LastListedAt - Task.PercentChangedAt < StallTimeout)
         continue;
+      const Milliseconds Timeout = RunTimes.stallTimeout(Job, At, StallTimeout);
+      if (Task.LastListedAt - Task.PercentChangedAt < Timeout)
+        continue;
       Quarantine.quarantine(nodeOf(Task.Worker), Now.Boot, StallQuarantine);
       const bool IsCheap = Job.step(At).checkpointing() ||
-                           completedMs(Job, At) <= double(MaxStallLoss.count());
+                           RunTimes.workDone(Job, At) <= MaxStallLoss;
       LOG4CPLUS_INFO(logOf("run"),
                      LogFields("run stalled")
                          .add("task", toText(Job.name(At)))
                          .add("run", Task.Run)
                          .add("worker", Task.Worker)
                          .add("percent", Task.Percent)
+                         .add("timeout_ms", Timeout.count())
                          .add("outcome", IsCheap ? "moved" : "left"));
-      if (IsCheap)
+      if (IsCheap) {
+        ++Job.task(At).StallMoves;
         stopMembers({&Job, At});
-      else
+      } else
         Job.task(At).PercentChangedAt = Now.Boot;
     }
   }
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -28,8 +28,7 @@
   Milliseconds Grant{6500};
   /// How long ended jobs are kept.
   Milliseconds StatusRetention{120000};
-  /// Factor by which work away from its data takes longer.
-  double RemotePenalty = 3;
+  RunTimeSettings RunTimes;
   /// Share of a core that this process may use.
   double CpuShare = 1;
 };
