Place by learned speeds and preempt by the work that is lost

Urgent tasks on a worker of speed 0.7 are always late, gangs end with their slowest member, and a preemption counted a run with checkpoints as one second of work and never waited for runs that were about to end.

SpeedPreference adds a score for the speed next to the best-fit score: urgent gangs take the fastest workers, urgent tasks a fast one among workers that are similarly free, other gangs workers of one speed, wide batches slow ones. It is zero while no speed is known. Forecasts of jobs use the learned durations, the pace of running tasks, and the longest of a step's tasks; they are made once per job and round.

The loss of a stop is the work since the last checkpoint plus the restore, for the whole gang. A guaranteed unit waits for runs that end within 1.7 s of its acceptance by their pace. A task that was preempted is spared in its next run unless nothing else helps. The log line names unit and loss.

FreeCapacity and PreemptionCost are parts of TaskPlanner.cpp, moved.

--- a/src/runtime_model/WorkerSpeeds.cpp
+++ b/src/runtime_model/WorkerSpeeds.cpp
@@ -20,6 +20,9 @@
 constexpr double LabelVariance = 0.02;
 constexpr double MinWorkersPerLabel = 2;
 
+/// Returns the share of a speed that runs of this weight determine.
+double confidenceIn(double Weight) { return Weight / (Weight + PriorWeight); }
+
 } // namespace
 
 void WorkerSpeeds::WeightedSum::add(double Log, double ItsWeight, double Sign) {
@@ -144,13 +147,17 @@
   return Sum / Weight;
 }
 
+bool WorkerSpeeds::isKnown(const Worker &Of) {
+  return Of.Steps.size() >= MinStepsToBeKnown &&
+         confidenceIn(Of.Weight) >= MinConfidenceToBeKnown;
+}
+
 WorkerSpeed WorkerSpeeds::speedOf(const Worker &Of) const {
-  const double Confidence = Of.Weight / (Of.Weight + PriorWeight);
+  const double Confidence = confidenceIn(Of.Weight);
   const double Log =
       Confidence * Of.Log + (1 - Confidence) * priorLog(Of) - meanLog();
   return {std::clamp(std::exp(Log), MinSpeed, MaxSpeed), Confidence,
-          Of.Steps.size() >= MinStepsToBeKnown &&
-              Confidence >= MinConfidenceToBeKnown};
+          isKnown(Of)};
 }
 
 WorkerSpeed WorkerSpeeds::speedOf(const NodeId &Node) const {
@@ -158,6 +165,13 @@
   return Found == Workers.end() ? WorkerSpeed() : speedOf(Found->second);
 }
 
+std::optional<double> WorkerSpeeds::knownFactor(const NodeId &Node) const {
+  const auto Found = Workers.find(Node);
+  if (Found == Workers.end() || !isKnown(Found->second))
+    return std::nullopt;
+  return speedOf(Found->second).Factor;
+}
+
 std::map<NodeId, WorkerSpeed> WorkerSpeeds::known() const {
   std::map<NodeId, WorkerSpeed> Known;
   for (const auto &[Node, Of] : Workers)
--- a/src/runtime_model/WorkerSpeeds.h
+++ b/src/runtime_model/WorkerSpeeds.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
 
   WorkerSpeed speedOf(const NodeId &Node) const;
 
+  /// Returns the speed of \p Node if it is known.
+  std::optional<double> knownFactor(const NodeId &Node) const;
+
   /// Returns the workers whose speed is known.
   std::map<NodeId, WorkerSpeed> known() const;
 
@@ -82,6 +86,7 @@
   /// Adds (\p Sign 1) or removes (-1) what \p Of contributes to the sums.
   void contribute(const Worker &Of, double Sign);
   WorkerSpeed speedOf(const Worker &Of) const;
+  static bool isKnown(const Worker &Of);
   double meanLog() const;
   double priorLog(const Worker &Of) const;
 
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -61,6 +61,11 @@
   /// Percent at which the pace last contributed to the speed of the worker;
   /// zero if it has not.
   std::uint32_t PaceUsedAt = 0;
+  /// When the current run was seen to have written its newest checkpoint; zero
+  /// if it was not.
+  BootInstant CheckpointAt{};
+  /// Number of the run that was last preempted; zero if none was.
+  std::uint64_t PreemptedRun = 0;
   /// Number of runs that were moved because they were stalled.
   std::uint32_t StallMoves = 0;
   /// When the last run was gone; zero before the first.
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -166,7 +166,7 @@
     RunTimes.noteProgress(*At.Job, At.Task);
     noteSurvival(At);
     if (!Run.checkpoint().empty())
-      updateCheckpoint(At, Run.checkpoint());
+      updateCheckpoint(At, Run.checkpoint(), Now);
   }
   for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
     TaskState &Task = At.Job->task(At.Task);
@@ -226,7 +226,7 @@
                                .add("worker", Task.Worker)
                                .add("checkpoint", End.checkpoint()));
   if (!End.checkpoint().empty())
-    updateCheckpoint(At, End.checkpoint());
+    updateCheckpoint(At, End.checkpoint(), Now);
   const wire::StepSpec &Step = At.Job->step(At.Task);
   if (End.ending() == wire::RUN_DONE || End.ending() == wire::RUN_FAILED)
     crashesOf(At).clearSuspicion();
@@ -360,11 +360,14 @@
       Job.task(At).StopRequested = true;
 }
 
-void JobTracker::updateCheckpoint(TaskRef At, const std::string &Checkpoint) {
+void JobTracker::updateCheckpoint(TaskRef At, const std::string &Checkpoint,
+                                  const ClockReading &Now) {
   for (std::size_t Member : gangMembers(At)) {
     TaskState &Task = At.Job->task(Member);
-    if (Task.Checkpoint != Checkpoint)
+    if (Task.Checkpoint != Checkpoint) {
       UnflushedCheckpoints.insert(At.Job->id());
+      Task.CheckpointAt = Now.Boot;
+    }
     Task.Checkpoint = Checkpoint;
   }
 }
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -33,6 +33,8 @@
   /// Core-seconds of all its work, and of the tasks that have not started yet.
   double Work = 0;
   double RemainingWork = 0;
+  /// Expected duration of a task, by step.
+  std::vector<Milliseconds> TaskDurations;
 };
 
 /// Holds all jobs of the cell with the state of their tasks, and applies
@@ -155,7 +157,8 @@
   void recordFailure(TaskRef At, const ClockReading &Now);
   /// Marks a job as failed and stops its runs.
   static void fail(TaskJob &Job);
-  void updateCheckpoint(TaskRef At, const std::string &Checkpoint);
+  void updateCheckpoint(TaskRef At, const std::string &Checkpoint,
+                        const ClockReading &Now);
   /// Returns all tasks of the gang of \p At, or only \p At if it is not part of
   /// a gang.
   std::vector<std::size_t> gangMembers(TaskRef At) const;
@@ -167,7 +170,7 @@
                 PlanInput &Input);
   PlanUnit makeUnit(const TaskJob &Job, std::uint32_t Occurrence,
                     std::uint32_t Step, bool Guaranteed,
-                    const ClockReading &Now) const;
+                    const ClockReading &Now);
   std::set<JobId> guaranteedJobs(const QueueConfig &Config) const;
   JobForecast forecastOf(const TaskJob &Job, std::uint32_t Occurrence,
                          const ClockReading &Now) const;
@@ -194,6 +197,8 @@
   std::map<WorkerIncarnation, std::uint64_t> AcknowledgedEnds;
   /// The latest incarnation that reported that it is draining, by node.
   std::map<NodeId, WorkerIncarnation> DrainingWorkers;
+  /// Forecasts of the current plan, by job and occurrence.
+  std::map<std::pair<JobId, std::uint32_t>, JobForecast> Forecasts;
   /// Workers reserved by the last plan, by the unit's first task.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -23,6 +23,9 @@
 /// short tasks end all the time. The stop, two writes to the store and the
 /// start take 0.7 s, so the total stays well below the bound of 2.7 s.
 constexpr Milliseconds ReclaimDelay{500};
+/// It waits until then if runs that are expected to end make place for it; 1 s
+/// of the bound is left for a preemption if they do not.
+constexpr Milliseconds MaxWaitForEnds{1700};
 
 /// Rank base of guaranteed jobs, which precede all others in the order of their
 /// acceptance; Unix times in milliseconds are far smaller than its magnitude.
@@ -74,6 +77,7 @@
   for (auto Retry = RetryNotBefore.begin(); Retry != RetryNotBefore.end();)
     Retry = Retry->second <= Now.Boot ? RetryNotBefore.erase(Retry)
                                       : std::next(Retry);
+  Forecasts.clear();
   PlanInput Input = makePlanInput(Reports, Config, Now);
   if (Input.Units.empty())
     return;
@@ -99,6 +103,7 @@
     Worker.Labels.assign(Report.labels().begin(), Report.labels().end());
     Worker.Capacity = capacityOf(Report);
     Worker.Free = Worker.Capacity;
+    Worker.Speed = RunTimes.placementSpeed(NodeId(Report.node()));
     addUnplacedRuns(Report, Worker);
     Worker.AcceptsTasks =
         !Report.draining() &&
@@ -125,15 +130,20 @@
       ++Input.OnWorker[{stepKey(Job.name(At)), WorkerIndex->second}];
       if (Task.StopRequested)
         Worker.Releasing += Usage;
-      else if (Task.Listed && !IsGuaranteed && !Job.step(At).long_running()) {
-        const double Ran = double((Now.Boot - Task.PlacedAt).count()) / 1000;
-        const double Members =
-            Job.step(At).gang() ? double(Job.step(At).count()) : 1.0;
-        Input.Preemptible.push_back(
-            {WorkerIndex->second, Id, At, Usage,
-             Job.step(At).gang() ? stepKey(Job.name(At)) : std::string(),
-             (Job.step(At).checkpointing() ? 1.0 : Ran + 0.1) * Members *
-                 coreEquivalents(Usage)});
+      else if (Task.Listed) {
+        const std::size_t Preemptible = Input.Preemptible.size();
+        const bool MayBeStopped = !IsGuaranteed && !Job.step(At).long_running();
+        if (MayBeStopped)
+          Input.Preemptible.push_back(
+              {WorkerIndex->second, Id, At, Usage,
+               Job.step(At).gang() ? stepKey(Job.name(At)) : std::string(),
+               RunTimes.secondsLostByStop(Job, At, Now.Boot) *
+                   coreEquivalents(Usage),
+               Task.PreemptedRun && Task.Run == Task.PreemptedRun + 1});
+        if (const auto In = RunTimes.timeToEnd(Job, At, Now.Boot))
+          Input.Ending.push_back(
+              {WorkerIndex->second, Usage, *In,
+               MayBeStopped ? std::make_optional(Preemptible) : std::nullopt});
       }
     }
     if (!Job.isOver())
@@ -224,7 +234,9 @@
   JobForecast Forecast;
   for (int S = 0; S < Spec.steps_size(); ++S) {
     const wire::StepSpec &Step = Spec.steps(S);
-    const auto DurationMs = double(RunTimes.expected(Spec, Step).count());
+    const StepTimes Times = RunTimes.timesOf(Spec, Step);
+    Forecast.TaskDurations.push_back(Times.Task);
+    const auto DurationMs = double(Times.Longest.count());
     double EarlierMs = 0;
     double RemainingEarlierMs = 0;
     for (std::uint32_t Earlier : Step.after()) {
@@ -234,12 +246,16 @@
     }
     const bool Done = Job.isStepDone(Occurrence, static_cast<std::uint32_t>(S));
     ChainMs.push_back(EarlierMs + DurationMs);
-    RemainingChainMs.push_back(RemainingEarlierMs + (Done ? 0 : DurationMs));
-    const double TaskWork =
-        DurationMs / 1000 * coreEquivalents(resourcesOf(Step));
-    Forecast.Work += TaskWork * double(Step.count());
     const std::size_t First =
         Job.first(Occurrence, static_cast<std::uint32_t>(S));
+    RemainingChainMs.push_back(
+        RemainingEarlierMs +
+        (Done ? 0
+              : double(RunTimes.remainingOfStep(Job, First, Times, Now.Boot)
+                           .count())));
+    const double TaskWork =
+        double(Times.Task.count()) / 1000 * coreEquivalents(resourcesOf(Step));
+    Forecast.Work += TaskWork * double(Step.count());
     for (std::size_t At = First; At < First + Step.count(); ++At)
       if (Job.task(At).Phase == wire::TASK_WAITING)
         Forecast.RemainingWork += TaskWork;
@@ -284,20 +300,27 @@
 
 PlanUnit JobTracker::makeUnit(const TaskJob &Job, std::uint32_t Occurrence,
                               std::uint32_t Step, bool Guaranteed,
-                              const ClockReading &Now) const {
+                              const ClockReading &Now) {
   PlanUnit Unit;
   Unit.Job = Job.id();
   Unit.Step = &Job.spec().steps(static_cast<int>(Step));
   Unit.Service = ServiceName(Job.spec().service());
   Unit.StepKey = stepKey({Job.id(), Occurrence, Step, 0});
   Unit.Guaranteed = Guaranteed;
-  const JobForecast Forecast = forecastOf(Job, Occurrence, Now);
+  Unit.Urgent = Job.spec().priority() == 0;
+  // The forecast is the same for all steps.
+  const auto [Known, IsNew] =
+      Forecasts.try_emplace({Unit.Job, Occurrence}, JobForecast());
+  if (IsNew)
+    Known->second = forecastOf(Job, Occurrence, Now);
+  const JobForecast &Forecast = Known->second;
   Unit.Rank = Guaranteed ? GuaranteedRank + double(Job.spec().accepted_ms())
                          : rankOf(Job, Forecast);
-  const auto Duration = RunTimes.expected(Job.spec(), *Unit.Step);
+  const Milliseconds Duration = Forecast.TaskDurations[Step];
   const auto WaitedMs =
       Now.UnixMs - std::max(Job.spec().accepted_ms(), Job.dueMs(Occurrence));
   Unit.MayPreempt = Guaranteed && WaitedMs >= ReclaimDelay.count();
+  Unit.MayWait = Milliseconds(MaxWaitForEnds.count() - WaitedMs);
   const bool HeldBackTooLong =
       WaitedMs >= MaxHoldback.count() && !Job.hasPlacedTasks();
   if (Job.spec().priority() > 0 && Forecast.Completion == JobForecast::OnTime &&
@@ -381,6 +404,7 @@
     Task.Listed = false;
     Task.Pace = RunPace(!Task.Checkpoint.empty());
     Task.PaceUsedAt = 0;
+    Task.CheckpointAt = {};
     Task.StopRequested = false;
     Task.Lost = false;
     Job.Begun = true;
@@ -396,8 +420,12 @@
   for (const PlannedStop &Stop : Plan.Stops) {
     TaskJob &Job = Jobs.at(Stop.Job);
     stopMembers({&Job, Stop.Task});
+    for (std::size_t Member : gangMembers({&Job, Stop.Task}))
+      Job.task(Member).PreemptedRun = Job.task(Member).Run;
     LOG4CPLUS_INFO(runLog(), LogFields("run preempted for a guaranteed job")
                                  .add("task", toText(Job.name(Stop.Task)))
+                                 .add("unit", Stop.For)
+                                 .add("loss_core_s", Stop.Loss)
                                  .add("run", Job.task(Stop.Task).Run)
                                  .add("worker", Job.task(Stop.Task).Worker));
   }
--- a/src/tasks/coordination/TaskRunTimes.cpp
+++ b/src/tasks/coordination/TaskRunTimes.cpp
@@ -4,6 +4,7 @@
 #include "base/LogFields.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace baobabcove {
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::uint32_t AllWorkDone = 100;
+constexpr double MsPerSecond = 1000;
 
 /// A run without progress is stalled after this multiple of the time that one
 /// percent takes at its pace. The percent is a whole number and reports arrive
@@ -37,8 +39,29 @@
 /// The pace of a run is used again after this much progress.
 constexpr std::uint32_t PaceUsePercent = 25;
 
+/// Placement distinguishes speeds by steps of this logarithm, about 22 %.
+constexpr double SpeedStep = 0.2;
+
 constexpr std::size_t MaxPredictionRatios = 1000;
 
+/// Returns the expected ratio of the longest of \p Tasks tasks of a step to
+/// their median.
+double longestOfStep(std::uint32_t Tasks) {
+  // From 14 tasks on, the ratio is limited by the quantile.
+  static const std::array<double, 14> Ratios = [] {
+    std::array<double, 14> Computed{};
+    const DurationEstimate Step{std::log(1e6), StepDeviation * StepDeviation};
+    for (std::size_t N = 1; N <= Computed.size(); ++N)
+      Computed[N - 1] =
+          double(Step.quantile(std::min(std::pow(0.5, 1.0 / double(N)),
+                                        MaxStepQuantile))
+                     .count()) /
+          1e6;
+    return Computed;
+  }();
+  return Ratios[std::clamp<std::size_t>(Tasks, 1, Ratios.size()) - 1];
+}
+
 TaskKind kindOf(const wire::TaskJobSpec &Spec, const wire::StepSpec &Step) {
   return {Spec.queue(), Step.image(), Spec.workspace(),
           static_cast<std::uint32_t>(
@@ -183,15 +206,43 @@
   return estimate(Spec, Step).median();
 }
 
-Milliseconds TaskRunTimes::longestOf(const wire::TaskJobSpec &Spec,
-                                     const wire::StepSpec &Step) const {
-  // A gang's sample is its slowest member already.
-  if (!Settings.Learns || Step.gang() || Step.count() <= 1)
-    return expected(Spec, Step);
-  DurationEstimate Task = estimate(Spec, Step);
-  Task.LogVariance = StepDeviation * StepDeviation;
-  return Task.quantile(
-      std::min(std::pow(0.5, 1.0 / Step.count()), MaxStepQuantile));
+StepTimes TaskRunTimes::timesOf(const wire::TaskJobSpec &Spec,
+                                const wire::StepSpec &Step) const {
+  StepTimes Times;
+  if (!Settings.Learns) {
+    Times.Task = Times.Longest = expected(Spec, Step);
+    return Times;
+  }
+  Times.Nominal = estimate(Spec, Step);
+  Times.Task = Times.Longest = Times.Nominal.median();
+  // The sample of a gang is its slowest member already.
+  if (!Step.gang())
+    Times.Longest = times(Times.Task, longestOfStep(Step.count()));
+  return Times;
+}
+
+Milliseconds TaskRunTimes::remainingOfStep(const TaskJob &Job,
+                                           std::size_t First,
+                                           const StepTimes &Times,
+                                           BootInstant Now) const {
+  if (!Settings.Learns)
+    return Times.Longest;
+  Milliseconds Longest{0};
+  for (std::size_t At = First; At < First + Job.step(First).count(); ++At) {
+    const TaskState &Task = Job.task(At);
+    if (Task.Phase == wire::TASK_WAITING)
+      Longest = std::max(Longest, Times.Longest);
+    else if (Task.Phase == wire::TASK_PLACED)
+      Longest = std::max(Longest, remaining(Job, At, Times.Nominal, Now));
+  }
+  return Longest;
+}
+
+double TaskRunTimes::placementSpeed(const NodeId &Node) const {
+  const auto Factor = Speeds.knownFactor(Node);
+  if (!Settings.Learns || !Factor)
+    return 1;
+  return std::exp(std::round(std::log(*Factor) / SpeedStep) * SpeedStep);
 }
 
 Milliseconds TaskRunTimes::remaining(const TaskJob &Job, std::size_t At,
@@ -246,6 +297,44 @@
   return std::max(Milliseconds(static_cast<std::int64_t>(Doubled)), Minimum);
 }
 
+std::optional<Milliseconds> TaskRunTimes::timeToEnd(const TaskJob &Job,
+                                                    std::size_t At,
+                                                    BootInstant Now) const {
+  if (!Settings.Learns || Job.step(At).long_running())
+    return std::nullopt;
+  Milliseconds Longest{0};
+  const auto [First, End] = unitOf(Job, At);
+  for (std::size_t Member = First; Member < End; ++Member) {
+    const RunPace &Pace = Job.task(Member).Pace;
+    if (Job.step(At).gang() && Pace.percent() >= AllWorkDone)
+      continue;
+    const auto Left = Pace.remaining(Now);
+    if (!Left)
+      return std::nullopt;
+    Longest = std::max(Longest, *Left);
+  }
+  return Longest;
+}
+
+double TaskRunTimes::secondsLostByStop(const TaskJob &Job, std::size_t At,
+                                       BootInstant Now) const {
+  const TaskState &Task = Job.task(At);
+  const wire::StepSpec &Step = Job.step(At);
+  const double Members = Step.gang() ? double(Step.count()) : 1;
+  const double RanMs = double((Now - Task.PlacedAt).count());
+  if (!Settings.Learns)
+    return (Step.checkpointing() ? 1 : RanMs / MsPerSecond + 0.1) * Members;
+  if (Step.checkpointing()) {
+    const BootInstant Saved = std::max(Task.CheckpointAt, Task.FirstListedAt);
+    return double((Now - Saved + Settings.Restore).count()) / MsPerSecond *
+           Members;
+  }
+  // After a takeover, the start of a run is not known, but its percent is.
+  const double AtPaceMs =
+      Task.Pace.msPerPercent().value_or(0) * double(Task.Percent);
+  return (std::max(RanMs, AtPaceMs) / MsPerSecond + 0.1) * Members;
+}
+
 std::vector<double> TaskRunTimes::takePredictionRatios() {
   std::vector<double> Taken;
   std::swap(Taken, PredictionRatios);
--- a/src/tasks/coordination/TaskRunTimes.h
+++ b/src/tasks/coordination/TaskRunTimes.h
@@ -22,6 +22,14 @@
   Milliseconds Restore{500};
 };
 
+/// Durations of the tasks of one step at nominal speed near their data.
+struct StepTimes {
+  DurationEstimate Nominal;
+  /// Expected duration of one task, and of the longest.
+  Milliseconds Task{0};
+  Milliseconds Longest{0};
+};
+
 /// What is known about how long tasks run, in terms of jobs and workers. Its
 /// state is not stored; it is learned again after a takeover.
 class TaskRunTimes {
@@ -44,9 +52,12 @@
   /// Returns its median; without learning, the mean of the queue.
   Milliseconds expected(const wire::TaskJobSpec &Spec,
                         const wire::StepSpec &Step) const;
-  /// Returns the expected duration of the longest task of a step.
-  Milliseconds longestOf(const wire::TaskJobSpec &Spec,
-                         const wire::StepSpec &Step) const;
+  StepTimes timesOf(const wire::TaskJobSpec &Spec,
+                    const wire::StepSpec &Step) const;
+  /// Returns the expected time that a step, which is not done, needs if its
+  /// waiting tasks start now. \p First is its first task.
+  Milliseconds remainingOfStep(const TaskJob &Job, std::size_t First,
+                               const StepTimes &Times, BootInstant Now) const;
   /// Returns the expected time until a placed task is done. \p Nominal is the
   /// duration of the task at nominal speed.
   Milliseconds remaining(const TaskJob &Job, std::size_t At,
@@ -59,7 +70,19 @@
   Milliseconds stallTimeout(const TaskJob &Job, std::size_t At,
                             Milliseconds Minimum) const;
 
-  Milliseconds restoreTime() const { return Settings.Restore; }
+  /// Returns the time until the run of a task, or of its gang, ends at its
+  /// pace, or nothing if the pace is not known.
+  std::optional<Milliseconds> timeToEnd(const TaskJob &Job, std::size_t At,
+                                        BootInstant Now) const;
+  /// Returns the seconds that a stop of the run, and with it of its gang, loses
+  /// in total of all members: the work since the last checkpoint, and the
+  /// restore.
+  double secondsLostByStop(const TaskJob &Job, std::size_t At,
+                           BootInstant Now) const;
+
+  /// Returns the speed of a worker for its placement score: one until it is
+  /// known, and rounded, since small differences are not significant.
+  double placementSpeed(const NodeId &Node) const;
   WorkerSpeed speedOf(const NodeId &Node) const { return Speeds.speedOf(Node); }
   const RunTimeModel &model() const { return Model; }
   const WorkerSpeeds &speeds() const { return Speeds; }
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -1,7 +1,11 @@
 #include "tasks/planning/TaskPlanner.h"
+#include "tasks/planning/FreeCapacity.h"
 #include "tasks/planning/PlacementRules.h"
+#include "tasks/planning/PreemptionCost.h"
+#include "tasks/planning/SpeedPreference.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <optional>
@@ -37,7 +41,10 @@
     for (const PlanWorker &Worker : In.Workers) {
       Free.push_back(Worker.Free);
       Releasing.push_back(Worker.Releasing);
+      LogSpeeds.push_back(std::log(Worker.Speed));
     }
+    const std::set<double> Distinct(LogSpeeds.begin(), LogSpeeds.end());
+    DistinctLogSpeeds.assign(Distinct.begin(), Distinct.end());
     Stopped.resize(In.Preemptible.size());
   }
 
@@ -64,7 +71,6 @@
   }
 
 private:
-  using ResourceList = std::vector<Resources>;
   /// Whether the worker with an index may be used.
   using WorkerFilter = std::function<bool(std::size_t)>;
 
@@ -99,21 +105,6 @@
     return Found == In.OnWorker.end() ? 0 : Found->second;
   }
 
-  /// Returns the resources left after \p Need is taken, relative to the
-  /// worker's capacity. Best fit: a low score fills the fullest worker and
-  /// keeps the others fully free.
-  double leftoverScore(std::size_t W, const Resources &Available,
-                       const Resources &Need) const {
-    const Resources &Capacity = In.Workers[W].Capacity;
-    const auto Share = [](std::int64_t Left, std::int64_t Of) {
-      return Of > 0 ? double(Left) / double(Of) : 0.0;
-    };
-    return 2 * Share(Available.Accelerators - Need.Accelerators,
-                     Capacity.Accelerators) +
-           Share(Available.MemoryMb - Need.MemoryMb, Capacity.MemoryMb) +
-           Share(Available.MilliCores - Need.MilliCores, Capacity.MilliCores);
-  }
-
   /// An isolated unit takes the worker with the fewest other runs.
   double sharingScore(std::size_t W) const {
     constexpr double AboveAnyLeftover = 10;
@@ -129,23 +120,36 @@
     const std::uint32_t Limit = Unit.Step->spread_limit();
     std::map<std::size_t, std::size_t> Taken;
     const bool KeepsSomeFree =
-        Unit.KeepFullyFree && usedShare(Available) >= BusyThreshold;
+        Unit.KeepFullyFree && usedShare(In.Workers, Available) >= BusyThreshold;
     std::size_t FullyFreeWorkers =
-        KeepsSomeFree ? countFullyFree(Unit, Available) : 0;
+        KeepsSomeFree ? countFullyFree(In.Workers, Available, Unit) : 0;
+    const SpeedPreference Preference(Unit);
+    const auto MayUse = [&](std::size_t W) {
+      return Filter(W) && Available[W].covers(Need) &&
+             isEligible(In.Workers[W], Unit) && mayJoin(In.Workers[W], Unit);
+    };
+    // The workers are selected once for all members of a gang.
+    const bool IsSingle = Unit.Tasks.size() == 1;
+    std::vector<std::size_t> Selected;
+    for (std::size_t W = 0; !IsSingle && W < In.Workers.size(); ++W)
+      if (MayUse(W))
+        Selected.push_back(W);
+    const std::size_t Choices = IsSingle ? In.Workers.size() : Selected.size();
     Assignment Placement;
     for (std::size_t T = 0; T < Unit.Tasks.size(); ++T) {
       std::size_t Best = In.Workers.size();
       double BestScore = Infinity;
-      for (std::size_t W = 0; W < In.Workers.size(); ++W) {
-        if (!Filter(W) || !Available[W].covers(Need) ||
-            !isEligible(In.Workers[W], Unit) || !mayJoin(In.Workers[W], Unit))
+      for (std::size_t Choice = 0; Choice < Choices; ++Choice) {
+        const std::size_t W = IsSingle ? Choice : Selected[Choice];
+        if (IsSingle ? !MayUse(W) : !Available[W].covers(Need))
           continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
-        if (KeepsSomeFree && isFullyFree(W, Available[W]) &&
+        if (KeepsSomeFree && isFullyFree(In.Workers[W], Available[W]) &&
             FullyFreeWorkers <= Unit.KeepFullyFree)
           continue;
-        const double Score = leftoverScore(W, Available[W], Need) +
+        const double Score = leftoverScore(In.Workers[W], Available[W], Need) +
+                             Preference.ofWorker(LogSpeeds[W]) +
                              (Unit.Isolated ? sharingScore(W) : 0);
         if (Score < BestScore) {
           Best = W;
@@ -155,7 +159,9 @@
       if (Best == In.Workers.size())
         return std::nullopt;
       FullyFreeWorkers -=
-          FullyFreeWorkers && isFullyFree(Best, Available[Best]) ? 1 : 0;
+          FullyFreeWorkers && isFullyFree(In.Workers[Best], Available[Best])
+              ? 1
+              : 0;
       Available[Best] -= Need;
       ++Taken[Best];
       Placement.push_back(Best);
@@ -163,33 +169,6 @@
     return Placement;
   }
 
-  /// Whether all accelerators of a worker are available.
-  bool isFullyFree(std::size_t W, const Resources &Available) const {
-    const std::int64_t All = In.Workers[W].Capacity.Accelerators;
-    return All > 0 && Available.Accelerators == All;
-  }
-
-  /// Returns the share of all accelerators that is not available.
-  double usedShare(const ResourceList &Available) const {
-    std::int64_t All = 0;
-    std::int64_t Left = 0;
-    for (std::size_t W = 0; W < In.Workers.size(); ++W) {
-      All += In.Workers[W].Capacity.Accelerators;
-      Left += Available[W].Accelerators;
-    }
-    return All > 0 ? 1 - double(Left) / double(All) : 0;
-  }
-
-  std::size_t countFullyFree(const PlanUnit &Unit,
-                             const ResourceList &Available) const {
-    std::size_t Count = 0;
-    for (std::size_t W = 0; W < In.Workers.size(); ++W)
-      Count += isFullyFree(W, Available[W]) && isEligible(In.Workers[W], Unit)
-                   ? 1
-                   : 0;
-    return Count;
-  }
-
   /// Returns the groups of workers within which \p Unit runs without the remote
   /// penalty.
   std::vector<WorkerFilter> localityGroups(const PlanUnit &Unit) const {
@@ -208,12 +187,36 @@
     return Groups;
   }
 
-  double totalLeftoverScore(const PlanUnit &Unit, const ResourceList &Available,
-                            const Assignment &Placement) const {
+  double totalScore(const PlanUnit &Unit, const ResourceList &Available,
+                    const Assignment &Placement) const {
     double Sum = 0;
-    for (std::size_t W : Placement)
-      Sum += leftoverScore(W, Available[W], resourcesOf(*Unit.Step));
-    return Sum;
+    std::vector<double> Speeds;
+    Speeds.reserve(Placement.size());
+    for (std::size_t W : Placement) {
+      Sum +=
+          leftoverScore(In.Workers[W], Available[W], resourcesOf(*Unit.Step));
+      Speeds.push_back(LogSpeeds[W]);
+    }
+    return Sum +
+           double(Placement.size()) * SpeedPreference(Unit).ofPlacement(Speeds);
+  }
+
+  /// Selects the workers that pass \p Filter and have a speed in \p Range.
+  WorkerFilter withSpeed(const WorkerFilter &Filter, SpeedRange Range) const {
+    return [this, Filter, Range](std::size_t W) {
+      return Range.contains(LogSpeeds[W]) && Filter(W);
+    };
+  }
+
+  /// Returns \p Group, and the parts of it with similar speeds to which a
+  /// placement of \p Unit may be restricted instead.
+  std::vector<WorkerFilter> bySpeed(const PlanUnit &Unit,
+                                    const WorkerFilter &Group) const {
+    std::vector<WorkerFilter> Parts = {Group};
+    for (const SpeedRange &Range :
+         SpeedPreference(Unit).alternatives(DistinctLogSpeeds))
+      Parts.push_back(withSpeed(Group, Range));
+    return Parts;
   }
 
   /// Finds a placement for \p Unit near its data and in one rack as it requires
@@ -227,18 +230,21 @@
     };
     std::optional<Assignment> Best;
     double BestScore = Infinity;
-    for (const WorkerFilter &Group : localityGroups(Unit)) {
-      auto Placement = fitOn(Unit, Available, Usable(Group));
-      const double Score = Placement
-                               ? totalLeftoverScore(Unit, Available, *Placement)
-                               : Infinity;
-      if (Score < BestScore) {
-        Best = std::move(Placement);
-        BestScore = Score;
+    const auto Consider = [&](const WorkerFilter &Group) {
+      for (const WorkerFilter &Part : bySpeed(Unit, Group)) {
+        auto Placement = fitOn(Unit, Available, Usable(Part));
+        const double Score =
+            Placement ? totalScore(Unit, Available, *Placement) : Infinity;
+        if (Score < BestScore) {
+          Best = std::move(Placement);
+          BestScore = Score;
+        }
       }
-    }
+    };
+    for (const WorkerFilter &Group : localityGroups(Unit))
+      Consider(Group);
     if (!Best && (AllowRemote || Unit.MayShareWorker))
-      return fitOn(Unit, Available, Usable(&anyWorker));
+      Consider(&anyWorker);
     return Best;
   }
 
@@ -303,6 +309,8 @@
     auto Placement = fitOn(Unit, afterReleases(), reservedFor(Unit));
     if (!Placement)
       Placement = findPlacement(Unit, afterReleases(), Unit.MayRunRemote);
+    if (!Placement && Unit.MayPreempt)
+      Placement = fitAfterEnds(Unit);
     if (!Placement && Unit.MayPreempt)
       Placement = preempt(Unit);
     if (!Placement)
@@ -311,6 +319,24 @@
     noteReservation(Unit, *Placement);
   }
 
+  /// Finds a placement for \p Unit on what runs release that are expected to
+  /// end while it may still wait, so that none needs to be preempted.
+  std::optional<Assignment> fitAfterEnds(const PlanUnit &Unit) const {
+    ResourceList After = afterReleases();
+    bool AnyEnds = false;
+    for (const EndingRun &Run : In.Ending)
+      if (Run.In <= Unit.MayWait &&
+          (!Run.Preemptible || !Stopped[*Run.Preemptible])) {
+        After[Run.Worker] += Run.Usage;
+        AnyEnds = true;
+      }
+    if (!AnyEnds)
+      return std::nullopt;
+    auto Placement = fitOn(Unit, After, reservedFor(Unit));
+    return Placement ? Placement
+                     : findPlacement(Unit, After, Unit.MayRunRemote);
+  }
+
   std::optional<Assignment> preempt(const PlanUnit &Unit) {
     std::optional<PreemptionPlan> Best;
     for (const WorkerFilter &Group : localityGroups(Unit))
@@ -322,7 +348,7 @@
     if (!Best)
       return std::nullopt;
     for (std::size_t Victim : Best->Victims)
-      stopRun(Victim);
+      stopRun(Victim, Unit);
     return Best->Placement;
   }
 
@@ -342,31 +368,21 @@
       if (!Victim)
         return std::nullopt;
       Found.Victims.push_back(*Victim);
-      for (std::size_t R : gangOf(*Victim)) {
+      for (std::size_t R : gangOf(In.Preemptible, *Victim)) {
         Removed[R] = true;
         After[In.Preemptible[R].Worker] += In.Preemptible[R].Usage;
       }
     }
     prune(Found);
     for (std::size_t Victim : Found.Victims)
-      Found.Loss += In.Preemptible[Victim].Loss;
+      Found.Loss += preemptionCost(In.Preemptible[Victim]);
     return Found;
   }
 
-  /// Returns \p Run and the other members of its gang, which end with it.
-  std::vector<std::size_t> gangOf(std::size_t Run) const {
-    std::vector<std::size_t> Group;
-    for (std::size_t R = 0; R < In.Preemptible.size(); ++R)
-      if (R == Run || (!In.Preemptible[R].Gang.empty() &&
-                       In.Preemptible[R].Gang == In.Preemptible[Run].Gang))
-        Group.push_back(R);
-    return Group;
-  }
-
   /// Removes victims that free nothing on the chosen workers.
   void prune(PreemptionPlan &Found) const {
     const auto Frees = [&](std::size_t Victim) {
-      for (std::size_t R : gangOf(Victim))
+      for (std::size_t R : gangOf(In.Preemptible, Victim))
         if (std::find(Found.Placement.begin(), Found.Placement.end(),
                       In.Preemptible[R].Worker) != Found.Placement.end())
           return true;
@@ -391,7 +407,8 @@
       if (!Filter(W) || !isEligible(In.Workers[W], Unit) ||
           !mayJoin(In.Workers[W], Unit) || After[W].covers(Need))
         continue;
-      const auto [Loss, First] = preemptionLoss(W, After[W], Need, Removed);
+      const auto [Loss, First] =
+          costOfFitting(In.Preemptible, W, After[W], Need, Removed);
       if (First && Loss < BestLoss) {
         BestLoss = Loss;
         Best = First;
@@ -400,47 +417,26 @@
     return Best;
   }
 
-  /// Returns the loss of preempting runs on worker \p W until \p Need fits, and
-  /// the first of these runs.
-  std::pair<double, std::optional<std::size_t>>
-  preemptionLoss(std::size_t W, Resources Available, const Resources &Need,
-                 const std::vector<bool> &Removed) const {
-    std::vector<std::size_t> Runs;
-    for (std::size_t R = 0; R < In.Preemptible.size(); ++R)
-      if (In.Preemptible[R].Worker == W && !Removed[R])
-        Runs.push_back(R);
-    std::sort(Runs.begin(), Runs.end(), [&](std::size_t L, std::size_t R) {
-      return In.Preemptible[L].Loss < In.Preemptible[R].Loss;
-    });
-    double Loss = 0;
-    std::optional<std::size_t> First;
-    for (std::size_t R : Runs) {
-      if (Available.covers(Need))
-        break;
-      if (!First)
-        First = R;
-      Loss += In.Preemptible[R].Loss;
-      Available += In.Preemptible[R].Usage;
-    }
-    return Available.covers(Need) ? std::make_pair(Loss, First)
-                                  : std::make_pair(Infinity, std::nullopt);
-  }
-
-  void stopRun(std::size_t Victim) {
-    for (std::size_t R : gangOf(Victim)) {
+  void stopRun(std::size_t Victim, const PlanUnit &For) {
+    for (std::size_t R : gangOf(In.Preemptible, Victim)) {
       if (Stopped[R])
         continue;
       Stopped[R] = true;
       Releasing[In.Preemptible[R].Worker] += In.Preemptible[R].Usage;
     }
-    Out.Stops.push_back(
-        {In.Preemptible[Victim].Job, In.Preemptible[Victim].Task});
+    Out.Stops.push_back({In.Preemptible[Victim].Job,
+                         In.Preemptible[Victim].Task, For.StepKey,
+                         In.Preemptible[Victim].Loss});
   }
 
   PlanInput In;
   /// Resources by worker, updated while the plan is made.
   ResourceList Free;
   ResourceList Releasing;
+  /// Logarithms of the workers' speeds, and their distinct values in ascending
+  /// order.
+  std::vector<double> LogSpeeds;
+  std::vector<double> DistinctLogSpeeds;
   TaskPlan Out;
   std::vector<bool> Stopped;
 };
--- a/src/tasks/planning/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   std::uint32_t Runs = 0;
   /// Whether any of the runs has not survived its probation.
   bool HasRunOnProbation = false;
+  /// Speed relative to the nominal one; one if it is not known.
+  double Speed = 1;
   /// Whether a run of an isolated unit is on the worker, which gets no other
   /// unit then.
   bool HasSuspect = false;
@@ -49,6 +52,20 @@
   std::string Gang;
   /// Core-seconds of work that a preemption loses, for the whole gang.
   double Loss = 0;
+  /// Whether the previous run of the task was preempted. Such a run is only
+  /// preempted if nothing else helps.
+  bool WasPreempted = false;
+};
+
+/// A run whose end is expected.
+struct EndingRun {
+  /// Index into PlanInput::Workers.
+  std::size_t Worker = 0;
+  Resources Usage;
+  /// Time until the end.
+  Milliseconds In{0};
+  /// Index into PlanInput::Preemptible, if it is there.
+  std::optional<std::size_t> Preemptible;
 };
 
 /// Tasks that are placed together: a whole gang or a single task.
@@ -64,10 +81,15 @@
   bool Guaranteed = false;
   /// Units with lower ranks are placed first.
   double Rank = 0;
+  /// Of the highest priority, so that its completion time counts most.
+  bool Urgent = false;
   /// Whether it may run away from its data or across racks, which takes longer.
   bool MayRunRemote = false;
   /// Whether runs may be preempted for it now.
   bool MayPreempt = false;
+  /// How long it may still wait for runs that are expected to end, instead of
+  /// preempting others.
+  Milliseconds MayWait{0};
   /// Number of workers that it must leave fully free for urgent jobs, because
   /// it can wait.
   std::size_t KeepFullyFree = 0;
@@ -86,6 +108,7 @@
 struct PlanInput {
   std::vector<PlanWorker> Workers;
   std::vector<PreemptibleRun> Preemptible;
+  std::vector<EndingRun> Ending;
   std::vector<PlanUnit> Units;
   /// Number of tasks of a step on a worker, by step key and worker index.
   std::map<std::pair<std::string, std::size_t>, std::uint32_t> OnWorker;
@@ -104,6 +127,10 @@
 struct PlannedStop {
   JobId Job;
   std::size_t Task = 0;
+  /// The step that the run is stopped for.
+  std::string For;
+  /// Core-seconds of work that are lost.
+  double Loss = 0;
 };
 
 struct TaskPlan {
--- a/tests/tasks/coordination/TaskRunTimesTest.cpp
+++ b/tests/tasks/coordination/TaskRunTimesTest.cpp
@@ -76,7 +76,7 @@
       }
       Tracker.finishJobs(Now);
       Tracker.moveStalledRuns(Now);
-      Tracker.plan(Reports, {}, Now);
+      Tracker.plan(Reports, Config, Now);
       for (Worker &Of : Workers)
         obey(Of, Tracker.ordersFor(Of.Report));
     }
@@ -85,6 +85,9 @@
   void stall(std::size_t Worker, bool Stalls) {
     Workers[Worker].Stalled = Stalls;
   }
+  void slowDown(std::size_t Worker, double Speed) {
+    Workers[Worker].Speed = Speed;
+  }
   const TaskState &task(const std::string &Job, std::size_t At = 0) const {
     return Tracker.jobs().at(JobId(Job)).task(At);
   }
@@ -101,10 +104,21 @@
   int stops() const { return Stops; }
 
   ClockReading Now{BootInstant(Milliseconds(100000)), 1000000};
+  QueueConfig Config;
   JobTracker Tracker;
   /// Share of the work that each resumed run finds done.
   std::map<std::string, double> Saved;
 
+  /// Adds a job of \p Tasks whole-worker tasks that may preempt others.
+  void addGuaranteed(const std::string &Id, std::uint32_t Tasks,
+                     double WorkMs) {
+    Config.Workspaces[WorkspaceId("team")] = {WorkspaceId("team"), 64};
+    auto Spec = makeJob(Id, Tasks, std::int64_t(WorkMs));
+    Spec->set_priority(0);
+    Spec->set_workspace("team");
+    add(Spec, WorkMs);
+  }
+
 private:
   static constexpr int ReportMs = 500;
 
@@ -350,3 +364,66 @@
   CHECK(Cell->expected(3000) < 4000);
   DOUBLES_EQUAL(1, Cell->speed("n1"), 0.1);
 }
+
+// Guards against stopping a run although another one makes place within the
+// time in which a guarantee must be reclaimed.
+TEST(TaskRunTimes, ReclaimsFromARunThatIsAboutToEnd) {
+  Cell->addWorker("n1", 1);
+  Cell->addWorker("n2", 1);
+  Cell->add(Cell->makeJob("ending", 1, 10000), 10000);
+  Cell->pass(5000);
+  Cell->add(Cell->makeJob("young", 1, 10000), 10000);
+  Cell->pass(4500);
+  Cell->addGuaranteed("urgent", 1, 2000);
+  Cell->pass(2500);
+  LONGS_EQUAL(0, Cell->stops());
+  LONGS_EQUAL(1, Cell->task("urgent").Run);
+}
+
+// Guards against a guarantee that is missed since the run that was expected to
+// end does not.
+TEST(TaskRunTimes, ReclaimsInTimeIfARunDoesNotEndAsExpected) {
+  Cell->addWorker("n1", 1);
+  Cell->add(Cell->makeJob("ending", 1, 10000), 10000);
+  Cell->pass(9500);
+  Cell->addGuaranteed("urgent", 1, 2000);
+  // Slower than before, but not stalled.
+  Cell->slowDown(0, 0.1);
+  Cell->pass(2500);
+  LONGS_EQUAL(1, Cell->stops());
+  LONGS_EQUAL(wire::TASK_PLACED, Cell->task("urgent").Phase);
+}
+
+// Guards against taking a long run with checkpoints for one that loses nothing:
+// what it did since its last checkpoint is lost.
+TEST(TaskRunTimes, CountsTheWorkSinceTheLastCheckpoint) {
+  Cell->addWorker("n1", 1);
+  Cell->addWorker("n2", 1);
+  auto Old = Cell->makeJob("checkpointed", 1, 60000);
+  Old->mutable_steps(0)->set_checkpointing(true);
+  Cell->add(Old, 60000);
+  Cell->pass(30000);
+  Cell->add(Cell->makeJob("young", 1, 60000), 60000);
+  Cell->pass(3000);
+  Cell->addGuaranteed("urgent", 1, 2000);
+  Cell->pass(2500);
+  LONGS_EQUAL(wire::TASK_WAITING, Cell->task("young").Phase);
+  LONGS_EQUAL(wire::TASK_PLACED, Cell->task("checkpointed").Phase);
+}
+
+// Guards against preempting the same task twice in a row.
+TEST(TaskRunTimes, PreemptsAnotherTaskTheNextTime) {
+  Cell->addWorker("n1", 1);
+  Cell->addWorker("n2", 1);
+  Cell->add(Cell->makeJob("old", 1, 200000), 200000);
+  Cell->pass(20000);
+  Cell->add(Cell->makeJob("young", 1, 200000), 200000);
+  Cell->pass(5000);
+  Cell->addGuaranteed("first", 1, 2000);
+  Cell->pass(10000);
+  LONGS_EQUAL(2, Cell->task("young").Run);
+  Cell->addGuaranteed("second", 1, 2000);
+  Cell->pass(10000);
+  LONGS_EQUAL(2, Cell->task("young").Run);
+  LONGS_EQUAL(2, Cell->task("old").Run);
+}
