Merge learned run times and speeds of workers

Losses of preemptions are valued by both: long-running steps by what they may miss, others by the work that is lost, and a task that was preempted in its previous run last.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -134,6 +134,7 @@
       expireLeases(NodeId(Report.node()), Now);
     return;
   }
+  RunTimes.noteWorker(Report);
   adoptIncarnation(Report, Now);
   applyRunning(Report, Incarnation, Now);
   applyEnds(Report, Incarnation, Now);
@@ -153,16 +154,20 @@
       Task->PercentChangedAt = Now.Boot;
     Task->Percent = Run.percent();
     // After a takeover the start time of the run is unknown.
-    if (Task->PlacedAt == BootInstant{})
+    if (Task->PlacedAt == BootInstant{}) {
       Task->PlacedAt = Now.Boot;
+      Task->Pace = RunPace(!Task->Checkpoint.empty());
+    }
+    Task->Pace.note(Run.percent(), Now.Boot);
     if (!Task->Listed)
       Task->FirstListedAt = Now.Boot;
     Task->Listed = true;
     Task->LastListedAt = Now.Boot;
+    RunTimes.noteProgress(*At.Job, At.Task);
     noteSurvival(At);
     noteAtWork(At);
     if (!Run.checkpoint().empty())
-      updateCheckpoint(At, Run.checkpoint());
+      updateCheckpoint(At, Run.checkpoint(), Now);
   }
   for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
     TaskState &Task = At.Job->task(At.Task);
@@ -222,17 +227,14 @@
                                .add("worker", Task.Worker)
                                .add("checkpoint", End.checkpoint()));
   if (!End.checkpoint().empty())
-    updateCheckpoint(At, End.checkpoint());
+    updateCheckpoint(At, End.checkpoint(), Now);
   const wire::StepSpec &Step = At.Job->step(At.Task);
   if (End.ending() == wire::RUN_DONE || End.ending() == wire::RUN_FAILED)
     crashesOf(At).clearSuspicion();
   switch (End.ending()) {
   case wire::RUN_DONE:
     Quarantine.noteSuccess(Node);
-    if (Task.Checkpoint.empty())
-      Durations.add(
-          At.Job->spec().queue(),
-          std::chrono::duration_cast<Milliseconds>(Now.Boot - Task.PlacedAt));
+    RunTimes.noteDone(*At.Job, At.Task, Now.Boot);
     if (Step.long_running())
       requeue(At, Now, Milliseconds(0));
     else
@@ -359,11 +361,14 @@
       Job.task(At).StopRequested = true;
 }
 
-void JobTracker::updateCheckpoint(TaskRef At, const std::string &Checkpoint) {
+void JobTracker::updateCheckpoint(TaskRef At, const std::string &Checkpoint,
+                                  const ClockReading &Now) {
   for (std::size_t Member : gangMembers(At)) {
     TaskState &Task = At.Job->task(Member);
-    if (Task.Checkpoint != Checkpoint)
+    if (Task.Checkpoint != Checkpoint) {
       UnflushedCheckpoints.insert(At.Job->id());
+      Task.CheckpointAt = Now.Boot;
+    }
     Task.Checkpoint = Checkpoint;
   }
 }
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -5,7 +5,7 @@
 #include "tasks.pb.h"
 #include "tasks/QueueConfig.h"
 #include "tasks/TaskJob.h"
-#include "tasks/planning/DurationEstimator.h"
+#include "tasks/coordination/TaskRunTimes.h"
 #include "tasks/planning/TaskPlanner.h"
 #include "tasks/planning/WorkerQuarantine.h"
 
@@ -33,14 +33,16 @@
   /// Core-seconds of all its work, and of the tasks that have not started yet.
   double Work = 0;
   double RemainingWork = 0;
+  /// Expected duration of a task, by step.
+  std::vector<Milliseconds> TaskDurations;
 };
 
 /// Holds all jobs of the cell with the state of their tasks, and applies
 /// reports, cancellations and plans to them. Performs no I/O. Not thread-safe.
 class JobTracker {
 public:
-  explicit JobTracker(double RemotePenalty = 3)
-      : RemotePenalty(RemotePenalty) {}
+  explicit JobTracker(const RunTimeSettings &RunTimes = {})
+      : RunTimes(RunTimes) {}
 
   /// Removes all jobs and the state of their runs.
   void clear();
@@ -89,6 +91,8 @@
   }
   const std::map<JobId, TaskJob> &jobs() const { return Jobs; }
 
+  TaskRunTimes &runTimes() { return RunTimes; }
+
 private:
   /// Refers to one task of a job.
   struct TaskRef {
@@ -153,7 +157,8 @@
   void recordFailure(TaskRef At, const ClockReading &Now);
   /// Marks a job as failed and stops its runs.
   static void fail(TaskJob &Job);
-  void updateCheckpoint(TaskRef At, const std::string &Checkpoint);
+  void updateCheckpoint(TaskRef At, const std::string &Checkpoint,
+                        const ClockReading &Now);
   /// Returns all tasks of the gang of \p At, or only \p At if it is not part of
   /// a gang.
   std::vector<std::size_t> gangMembers(TaskRef At) const;
@@ -172,7 +177,7 @@
                 const ClockReading &Now) const;
   PlanUnit makeUnit(const TaskJob &Job, std::uint32_t Occurrence,
                     std::uint32_t Step, bool Guaranteed,
-                    const ClockReading &Now) const;
+                    const ClockReading &Now);
   std::set<JobId> guaranteedJobs(const QueueConfig &Config) const;
   JobForecast forecastOf(const TaskJob &Job, std::uint32_t Occurrence,
                          const ClockReading &Now) const;
@@ -192,7 +197,6 @@
   void applyPlan(const TaskPlan &Plan, const PlanInput &Input,
                  const ClockReading &Now);
 
-  double RemotePenalty;
   std::map<JobId, TaskJob> Jobs;
   std::map<NodeId, TaskRefs> Placed;
   /// Whether tasks may have been placed, or jobs removed, since the index was
@@ -210,8 +214,8 @@
   std::map<WorkerIncarnation, std::uint64_t> AcknowledgedEnds;
   /// The latest incarnation that reported that it is draining, by node.
   std::map<NodeId, WorkerIncarnation> DrainingWorkers;
-  double completedMs(const TaskJob &Job, std::size_t At) const;
-
+  /// Forecasts of the current plan, by job and occurrence.
+  std::map<std::pair<JobId, std::uint32_t>, JobForecast> Forecasts;
   /// Workers reserved by the last plan, by the unit's first task.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
@@ -219,7 +223,7 @@
   std::size_t ReachableWorkers = 0;
   /// Units that the last plan isolated, by their first task.
   std::set<std::pair<JobId, std::size_t>> IsolatedUnits;
-  DurationEstimator Durations;
+  TaskRunTimes RunTimes;
   /// Number and total size of the jobs of a queue; the size is in core-seconds.
   struct WorkSums {
     double Jobs = 0;
--- a/src/tasks/planning/VictimCost.cpp
+++ b/src/tasks/planning/VictimCost.cpp
@@ -1,4 +1,5 @@
 #include "tasks/planning/VictimCost.h"
+#include "tasks/planning/PreemptionCost.h"
 
 #include <algorithm>
 
@@ -27,7 +28,7 @@
 VictimCost VictimCosts::costOf(std::size_t Run) const {
   const PreemptibleRun &Victim = Runs[Run];
   if (Victim.LongRunningStep.empty())
-    return {0, Victim.Loss};
+    return {0, preemptionCost(Victim)};
   const std::int64_t Left = MayMiss.at(Victim.LongRunningStep);
   const auto Members = static_cast<std::int64_t>(Victim.Members);
   // The losses are the same for all sizes, so that the step with the most left
--- a/tests/tasks/planning/VictimCostTest.cpp
+++ b/tests/tasks/planning/VictimCostTest.cpp
@@ -11,8 +11,8 @@
   void addRun(const std::string &Step, const std::string &Gang = "",
               std::size_t Members = 1, double Loss = 1) {
     Input.Preemptible.push_back({0, JobId("j"), Input.Preemptible.size(),
-                                 Resources{0, 0, 1}, Gang, Loss, Step,
-                                 Members});
+                                 Resources{0, 0, 1}, Gang, Loss, Step, Members,
+                                 false});
   }
 
   std::pair<VictimCost, std::optional<std::size_t>> costToFree(
