--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -4,6 +4,7 @@
 #include "base/LogFields.h"
 #include "base/StateDump.h"
 #include "tasks/StoreKeys.h"
+#include "tasks/coordination/RunTimeReport.h"
 
 #include <algorithm>
 
@@ -34,6 +35,8 @@
 /// A round that takes longer is logged, at most once in this period.
 constexpr Milliseconds SlowRound{250};
 constexpr Milliseconds SlowRoundLogPeriod{1000};
+/// What the run time model shows is brought up to date this often.
+constexpr Milliseconds RunTimeReportPeriod{10000};
 
 ClockReading readClocks() { return {BootClock::now(), wallClockMs()}; }
 
@@ -159,6 +162,18 @@
   }
   Times.Publish = Timer.lap();
   recordRound(Times, Now);
+  reportRunTimes(Now);
+}
+
+void TaskCoordinator::reportRunTimes(BootInstant Now) {
+  recordPredictions(Tracker.runTimes(), Stats);
+  if (Now - RunTimesReportedAt < RunTimeReportPeriod)
+    return;
+  RunTimesReportedAt = Now;
+  recordSpeeds(Tracker.runTimes(), Stats);
+  auto Described = describe(Tracker.runTimes());
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  RunTimesDump = std::move(Described);
 }
 
 void TaskCoordinator::recordRound(const RoundTimes &Times, BootInstant Now) {
@@ -357,6 +372,8 @@
   auto Dump = makeDump();
   Dump->set("epoch", Serving.value());
   Dump->set("agents", Sessions.size());
+  if (RunTimesDump)
+    Dump->set("run_times", RunTimesDump);
   return dumpText(Dump);
 }
 
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -108,6 +108,7 @@
   void publish();
   void recordRound(const RoundTimes &Times, BootInstant Now);
   void recordPublishedCancels();
+  void reportRunTimes(BootInstant Now);
   /// Ends the waits of all agents. The mutex must be locked.
   void notifyAllSessions();
 
@@ -126,6 +127,8 @@
   std::map<NodeId, WorkerSession> Sessions;
   /// The epoch under which orders are given; zero while none are.
   Epoch Serving;
+  /// What the run time model had learned at the last report.
+  Poco::JSON::Object::Ptr RunTimesDump;
 
   // Used by the coordinator's thread only.
   Epoch Current;
@@ -134,6 +137,7 @@
   /// Cancellations whose stops have not been published.
   std::vector<ReceivedCancel> UnpublishedCancels;
   BootInstant SlowRoundLoggedAt;
+  BootInstant RunTimesReportedAt;
   std::thread Thread;
 };
 
