--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -23,8 +23,8 @@
 /// short tasks end all the time. The stop, two writes to the store and the
 /// start take 0.7 s, so the total stays well below the bound of 2.7 s.
 constexpr Milliseconds ReclaimDelay{500};
-/// It waits until then if runs that are expected to end make place for it; 1.2 s
-/// of the bound is left for a preemption if they do not.
+/// It waits until then if runs that are expected to end make place for it; 1.2
+/// s of the bound is left for a preemption if they do not.
 constexpr Milliseconds MaxWaitForEnds{1500};
 
 /// Rank base of guaranteed jobs, which precede all others in the order of their
