--- a/tests/tasks/coordination/TaskRunTimesTest.cpp
+++ b/tests/tasks/coordination/TaskRunTimesTest.cpp
@@ -427,3 +427,18 @@
   LONGS_EQUAL(2, Cell->task("young").Run);
   LONGS_EQUAL(2, Cell->task("old").Run);
 }
+
+// Guards against learned speeds that do not reach the placement: of workers of
+// 0.7, 0.7 and 1.7, only the last ones end an urgent task of 2 s in time.
+TEST(TaskRunTimes, StartsUrgentJobsOnWorkersThatWereLearnedToBeFast) {
+  for (const auto &[Node, Speed] :
+       {std::pair{"a", 0.7}, std::pair{"b", 0.7}, std::pair{"c", 1.7}})
+    Cell->addWorker(Node, Speed);
+  runJobs(5, 3, 4000, 4000);
+  for (int J = 0; J < 4; ++J) {
+    const std::string Id = "urgent" + std::to_string(J);
+    Cell->addGuaranteed(Id, 1, 2000);
+    Cell->pass(4000);
+    STRCMP_EQUAL("c", nodeOf(Cell->task(Id).Worker).str().c_str());
+  }
+}
