--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -47,9 +47,15 @@
   /// Whether the worker has listed the run.
   bool Listed = false;
   bool StopRequested = false;
+  /// Whether an earlier run has completed the task; the current one is being
+  /// stopped.
+  bool DoneByEarlierRun = false;
   /// Incarnation of the agent that the start was first sent to; zero for a run
   /// that an earlier coordinator ordered.
   std::uint64_t OrderedByAgent = 0;
+  /// Revision of the orders of this term that first contained the run; zero
+  /// before they are published.
+  std::uint64_t OrderRevision = 0;
   BootInstant PlacedAt{};
   /// When the worker first and last listed the run.
   BootInstant FirstListedAt{};
--- a/src/tasks/agent/RunOrderTracker.cpp
+++ b/src/tasks/agent/RunOrderTracker.cpp
@@ -11,14 +11,14 @@
 
 std::vector<std::pair<RunId, bool>>
 RunOrderTracker::update(const wire::TaskOrders &Orders, BootInstant Now) {
-  std::vector<std::pair<RunId, bool>> Send;
   std::map<RunId, Entry> Kept;
   for (const wire::StartOrder &Start : Orders.starts()) {
     const RunId Run(Start.task(), Start.run());
     const auto Known = Runs.find(Run);
-    Kept[Run] = Known == Runs.end() ? Entry() : Known->second;
-    if (Known == Runs.end())
-      Send.emplace_back(Run, false);
+    Entry &Next = Kept[Run];
+    if (Known != Runs.end())
+      Next = Known->second;
+    Next.MayBeAtWorker = Next.MayBeAtWorker || Start.may_have_been_sent();
   }
   for (const wire::RunKey &Stop : Orders.stops()) {
     const RunId Run(Stop.task(), Stop.run());
@@ -28,21 +28,48 @@
         Next.State == OrderState::Started) {
       Next = Entry();
       Next.State = OrderState::Stopping;
-      Send.emplace_back(Run, true);
     }
     Kept[Run] = Next;
   }
   Runs = std::move(Kept);
-  for (auto &[Run, Known] : Runs)
-    if (Known.State == OrderState::Stopping &&
-        Known.LastStopAt != BootInstant{} &&
+  std::vector<std::pair<RunId, bool>> Send;
+  for (auto &[Run, Known] : Runs) {
+    const bool IsStop = Known.State == OrderState::Stopping;
+    if (IsStop && Known.LastStopAt != BootInstant{} &&
         Now - Known.LastStopAt > StopRetryDelay) {
       Known.LastStopAt = BootInstant{};
-      Send.emplace_back(Run, true);
+      Known.NeedsSend = true;
     }
+    if (Known.NeedsSend && (IsStop || Known.State == OrderState::Starting))
+      Send.emplace_back(Run, IsStop);
+    Known.NeedsSend = false;
+  }
   return Send;
 }
 
+void RunOrderTracker::postpone(const RunId &Run) {
+  const auto Known = Runs.find(Run);
+  if (Known != Runs.end())
+    Known->second.NeedsSend = true;
+}
+
+void RunOrderTracker::markSent(const RunId &Run) {
+  const auto Known = Runs.find(Run);
+  if (Known != Runs.end())
+    Known->second.MayBeAtWorker = true;
+}
+
+void RunOrderTracker::voidStarts() {
+  for (auto &[Run, Order] : Runs) {
+    if (Order.State != OrderState::Starting)
+      continue;
+    Order.State =
+        Order.MayBeAtWorker ? OrderState::Stopping : OrderState::NeverStarted;
+    Order.Reason = wire::REFUSED_LATE;
+    Order.NeedsSend = true;
+  }
+}
+
 void RunOrderTracker::markStarted(const RunId &Run) {
   const auto Known = Runs.find(Run);
   if (Known != Runs.end() && Known->second.State == OrderState::Starting)
@@ -63,6 +90,7 @@
   if (Known == Runs.end() || Known->second.State != OrderState::Starting)
     return;
   Known->second.State = OrderState::Stopping;
+  Known->second.NeedsSend = true;
 }
 
 void RunOrderTracker::markStopped(const RunId &Run, BootInstant At) {
--- a/src/tasks/agent/RunOrderTracker.h
+++ b/src/tasks/agent/RunOrderTracker.h
@@ -23,10 +23,20 @@
   void clear() { Runs.clear(); }
 
   /// Replaces the tracked runs with those in \p Orders and returns the orders
-  /// to send now; true denotes a stop.
+  /// to send now; true denotes a stop. An order is returned once, unless it is
+  /// postponed.
   std::vector<std::pair<RunId, bool>> update(const wire::TaskOrders &Orders,
                                              BootInstant Now);
 
+  /// Makes the next update return the order of \p Run again, for which there
+  /// was no room.
+  void postpone(const RunId &Run);
+  /// Records that a start of \p Run is being sent to the worker.
+  void markSent(const RunId &Run);
+  /// Withdraws all starts that have no result yet. One that may have been sent
+  /// is barred by a stop; the others never start.
+  void voidStarts();
+
   /// Records that a run started, by the answer to its start or by a listing.
   void markStarted(const RunId &Run);
   /// Records that the worker refused a start, which can no longer begin the
@@ -60,6 +70,11 @@
   enum class OrderState { Starting, Started, Stopping, Stopped, NeverStarted };
   struct Entry {
     OrderState State = OrderState::Starting;
+    /// Whether the order has to be sent.
+    bool NeedsSend = true;
+    /// Whether this agent or another has sent a start to the worker, or may
+    /// have.
+    bool MayBeAtWorker = false;
     /// When a stop was last acknowledged or failed.
     BootInstant LastStopAt{};
     wire::RefusalReason Reason = wire::REFUSAL_REASON_UNSPECIFIED;
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -4,8 +4,10 @@
 #include "base/LogFields.h"
 #include "base/StateDump.h"
 #include "tasks/StoreKeys.h"
+#include "tasks/agent/ReportParts.h"
 
 #include <algorithm>
+#include <random>
 
 namespace baobabcove {
 
@@ -30,16 +32,24 @@
 /// Lowest rate of a worker's clock relative to real time; the platform allows
 /// clocks that are up to 2 % slow.
 constexpr double SlowestClockRate = 0.98;
-/// Capacity of the order queue; a worker has a few dozen tasks at most.
+/// Capacity of the order queue. Orders for which there is no room wait in the
+/// tracker and are queued after a later listing.
 constexpr std::size_t MaxQueuedOrders = 1024;
 
+std::uint64_t uniqueIncarnation() {
+  std::random_device Source;
+  std::uniform_int_distribution<std::uint64_t> Any(1);
+  return Any(Source);
+}
+
 } // namespace
 
 TaskAgent::TaskAgent(AgentSettings Settings, TransactionalStore &Kv,
                      LinkFactory Links, Metrics &Stats)
     : Settings(std::move(Settings)), Kv(Kv), Links(std::move(Links)),
-      Stats(Stats), Incarnation(static_cast<std::uint64_t>(wallClockMs())),
-      PollWait(DefaultPollWait), Queue(MaxQueuedOrders) {}
+      Stats(Stats), StartedAtMs(static_cast<std::uint64_t>(wallClockMs())),
+      Incarnation(uniqueIncarnation()), PollWait(DefaultPollWait),
+      Queue(MaxQueuedOrders) {}
 
 TaskAgent::~TaskAgent() { stop(); }
 
@@ -159,7 +169,9 @@
   wire::TaskReport Report;
   Report.set_node(Settings.Node.str());
   Report.set_data_centre(Settings.DataCentre.str());
-  Report.set_agent_life(Incarnation);
+  Report.set_agent_life(StartedAtMs);
+  Report.set_agent_incarnation(Incarnation);
+  Report.set_agent_session(Session);
   Report.set_sequence(++Sequence);
   Report.set_wait_ms(static_cast<std::uint32_t>(Wait.count()));
   Report.set_orders_seen(Orders.revision());
@@ -167,15 +179,15 @@
   Report.set_left_worker(LeftWorker.str());
   Report.set_lost_worker(LostWorker.str());
   Report.set_lost_runs_complete(AreLostRunsComplete);
-  for (const auto &[Task, Run] : LostRuns) {
-    wire::RunKey &Key = *Report.add_lost_runs();
-    Key.set_task(Task);
-    Key.set_run(Run);
-  }
+  addLostRuns(Report, LostRuns);
   Report.set_complete(Listed && (ListedAt == BootInstant::max() ||
                                  Now - ListedAt < ListingTimeout));
-  Report.set_lapsed(!Report.complete() && LeaseUntil != BootInstant{} &&
-                    Now > LeaseUntil);
+  Report.set_lapsed(!Report.complete() && Lease.hasExpired(Now));
+  if (Report.lapsed()) {
+    RunOrders.voidStarts();
+    Report.set_lapsed_epoch(Term.value());
+    Report.set_lapsed_revision(Orders.revision());
+  }
   if (!Worker)
     return Report;
   Report.set_service(Worker->Service.str());
@@ -187,13 +199,16 @@
   Report.set_rack(Worker->Rack.str());
   Report.set_draining(Worker->Draining);
   Report.set_remaining_ms(Worker->Remaining.count());
-  *Report.mutable_running() = {Running.begin(), Running.end()};
-  *Report.mutable_ends() = {Ends.begin(), Ends.end()};
-  for (wire::RunRefusal &Refusal : RunOrders.refusals())
-    *Report.add_refusals() = std::move(Refusal);
+  addRunning(Report);
+  addEnds(Report, Ends);
+  addRefusals(Report, RunOrders.refusals());
   return Report;
 }
 
+void TaskAgent::addRunning(wire::TaskReport &Report) {
+  NextRunning = addRunsFrom(Report, Running, NextRunning);
+}
+
 void TaskAgent::applyOrders(const wire::TaskOrders &NewOrders,
                             BootInstant SentAt) {
   const std::lock_guard<std::mutex> Lock(Mutex);
@@ -208,13 +223,23 @@
   }
   if (NewOrders.poll_ms())
     PollWait = std::min(Milliseconds(NewOrders.poll_ms()), MaxPollWait);
+  if (NewOrders.agent_session() && NewOrders.agent_session() != Session) {
+    Session = NewOrders.agent_session();
+    ReportPending = true;
+    ReportNeeded.notify_all();
+  }
+  for (const wire::RunKey &Run : NewOrders.bars())
+    Lease.requireBar({Run.task(), Run.run()});
+  const BootInstant Now = BootClock::now();
+  // The coordinator may have given up the runs of earlier orders meanwhile.
+  if (Lease.hasGrantRunOut(Now))
+    RunOrders.voidStarts();
   const auto Held = Milliseconds(static_cast<std::int64_t>(
       double(NewOrders.held_ms()) * SlowestClockRate));
-  GrantedUntil = std::max(GrantedUntil,
-                          SentAt + Held + Milliseconds(NewOrders.grant_ms()));
-  // Leases that earlier agents of this worker gave end within one grant.
-  if (LeaseUntil == BootInstant{})
-    LeaseUntil = GrantedUntil;
+  // So may it have given up those of an answer that arrives after its grant.
+  if (!Lease.grant(SentAt + Held + Milliseconds(NewOrders.grant_ms()), Now))
+    return;
+  queueOrders();
   if (NewOrders.worker() != WorkerName.str() || WorkerName.str().empty() ||
       NewOrders.revision() <= Orders.revision())
     return;
@@ -228,9 +253,12 @@
     if (!Link)
       RunOrders.markBarred(Run);
     else if (!Queue.tryPush({Stop, Run.first, Run.second}))
-      RunOrders.markStopFailed(Run, BootClock::now());
+      RunOrders.postpone(Run);
     ReportPending = ReportPending || !Link;
   }
+  for (const RunId &Run : Lease.barsToSend())
+    if (!Link || !Queue.tryPush({true, Run.first, Run.second}))
+      Lease.noteBarFailed(Run);
   if (ReportPending)
     ReportNeeded.notify_all();
 }
@@ -250,13 +278,15 @@
   // The lease of a worker that does not answer is not extended: while it is,
   // the runs of a worker that is lost for good can never be started elsewhere.
   const bool Answers = Now - ListedAt < ListingTimeout;
-  if (WorkerClockAt != BootInstant{} && Answers && GrantedUntil > Now) {
-    const auto Left = double((GrantedUntil - WorkerClockAt).count());
+  Lease.checkExpiry(Now);
+  if (WorkerClockAt == BootInstant{} || !Answers)
+    return Next;
+  const BootInstant Until = Lease.extend(Now);
+  if (Until != BootInstant{})
     Next.Deadline =
         WorkerClock +
-        Milliseconds(static_cast<std::int64_t>(Left * SlowestClockRate));
-    LeaseUntil = std::max(LeaseUntil, GrantedUntil);
-  }
+        Milliseconds(static_cast<std::int64_t>(
+            double((Until - WorkerClockAt).count()) * SlowestClockRate));
   return Next;
 }
 
@@ -314,8 +344,7 @@
   if (Request.Incarnation != WorkerName)
     return;
   if (Liveness.answers()) {
-    const auto LeaseLeft =
-        std::max(LeaseUntil - Now, BootInstant::duration::zero());
+    const auto LeaseLeft = Lease.remaining(Now);
     LOG4CPLUS_WARN(logOf("worker"), LogFields("worker does not answer")
                                         .add("worker", WorkerName)
                                         .add("running", Running.size())
@@ -379,6 +408,9 @@
   // What an overtaken listing says about orders that the worker answered before
   // it still holds.
   HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
+  std::set<RunId> Sent = UnansweredStarts;
+  Sent.insert(StartsSent.begin(), StartsSent.end());
+  Lease.applyListing(RequestedAt, Known, Sent);
   queueOrders();
   if (HasNews) {
     ReportPending = true;
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -7,6 +7,7 @@
 #include "store/TransactionalStore.h"
 #include "tasks/WorkerIncarnation.h"
 #include "tasks/agent/RunOrderTracker.h"
+#include "tasks/agent/WorkerLease.h"
 #include "tasks/agent/WorkerLink.h"
 #include "tasks/agent/WorkerLiveness.h"
 
@@ -82,6 +83,9 @@
   wire::TaskReport report(Milliseconds Wait);
   void applyOrders(const wire::TaskOrders &Orders, BootInstant SentAt);
   void queueOrders();
+  /// Adds the running runs to \p Report, or a part of them if they are too many
+  /// for one report.
+  void addRunning(wire::TaskReport &Report);
   bool listRuns(Milliseconds Wait);
   void noteListingFailure(const WorkerCall &Request, const Error &Failure);
   /// Reports the worker as gone; \p Announced says whether it said so.
@@ -108,6 +112,9 @@
   const LinkFactory Links;
   Metrics &Stats;
   RpcPeers Peers;
+  /// The start time of this agent, by which older coordinators identify it.
+  const std::uint64_t StartedAtMs;
+  /// Identifies this agent incarnation; unique whatever the clocks say.
   const std::uint64_t Incarnation;
 
   mutable std::mutex Mutex;
@@ -119,6 +126,10 @@
   /// How long the coordinator may hold the next poll.
   Milliseconds PollWait;
   std::uint64_t Sequence = 0;
+  /// The number by which the coordinator confirms this agent incarnation.
+  std::uint64_t Session = 0;
+  /// The next of the runs when a report has room for a part of them only.
+  std::size_t NextRunning = 0;
 
   std::optional<WorkerHeartbeat> Worker;
   std::shared_ptr<WorkerLink> Link;
@@ -137,6 +148,9 @@
   /// Runs whose starts were sent to the current incarnation and not refused,
   /// and whose ends it has not listed.
   std::set<RunId> StartsSent;
+  /// Starts that an earlier incarnation did not acknowledge. They can reach the
+  /// current one if it has the same id.
+  std::set<RunId> UnansweredStarts;
   std::uint64_t DepartedWorkers = 0;
   bool Listed = false;
   BootInstant ListedAt{};
@@ -148,11 +162,7 @@
   /// WorkerClockAt.
   Milliseconds WorkerClock{0};
   BootInstant WorkerClockAt{};
-  /// End of the period for which the coordinator allows the runs to continue.
-  BootInstant GrantedUntil{};
-  /// Latest possible end of any lease that this agent, or an earlier one on
-  /// this node, gave to a worker; zero before the first grant.
-  BootInstant LeaseUntil{};
+  WorkerLease Lease;
 
   Epoch Term;
   wire::TaskOrders Orders;
--- a/src/tasks/agent/TaskAgentOrders.cpp
+++ b/src/tasks/agent/TaskAgentOrders.cpp
@@ -71,13 +71,21 @@
     listRuns(Milliseconds(0));
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
+    // The start may have become void meanwhile.
+    if (!RunOrders.isStartPending(Run))
+      return;
     Request = prepareCall();
+    if (!Request.Link)
+      return;
     MaySend = Request.Deadline.count() > 0 && !Liveness.refuses();
-    if (Request.Link && MaySend)
+    if (MaySend) {
       StartsSent.insert(Run);
+      RunOrders.markSent(Run);
+    } else if (Lease.isBarring()) {
+      RunOrders.postpone(Run);
+      return;
+    }
   }
-  if (!Request.Link)
-    return;
   // Without a lease to grant, or a process that listens, the start is not sent.
   // An earlier incarnation of this agent may have sent it, which a stop
   // resolves.
@@ -111,8 +119,7 @@
     }
   } else {
     RunOrders.markUnknown(Run);
-    if (!Queue.tryPush({true, Order.Task, Order.Run}))
-      RunOrders.markStopFailed(Run, BootClock::now());
+    queueOrders();
   }
   ReportPending = true;
   ReportNeeded.notify_all();
@@ -148,6 +155,13 @@
       RunOrders.markStopped(Run, Now);
     else
       RunOrders.markStopFailed(Run, Now);
+    if (Answer.Outcome == CallOutcome::Done)
+      Lease.noteBarred(Run);
+    else
+      Lease.noteBarFailed(Run);
+    // Starts that waited for the last bar can be sent.
+    if (!Lease.isBarring())
+      queueOrders();
   }
   // A run that exists reports its end; one that does not is resolved by the
   // next listing.
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -96,6 +96,10 @@
 }
 
 void TaskAgent::resetWorkerState() {
+  UnansweredStarts = std::move(StartsSent);
+  for (const wire::RunStatus &Run : Running)
+    UnansweredStarts.erase({Run.task(), Run.run()});
+  Lease.resetWorker();
   Running.clear();
   Ends.clear();
   RunOrders.clear();
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -15,7 +15,8 @@
 /// A worker that reports itself unhealthy gets no new task for this long.
 constexpr Milliseconds UnhealthyQuarantine{1500};
 /// A run that the worker has listed and then omits for this long without
-/// reporting its end is barred and started again.
+/// reporting its end is barred and started again. If the list of runs is spread
+/// over several reports, of which some are skipped, it takes longer.
 constexpr Milliseconds MissingRunTimeout{1500};
 
 log4cplus::Logger runLog() { return logOf("run"); }
@@ -51,6 +52,7 @@
   EarlyCancels.clear();
   UnflushedCheckpoints.clear();
   Reservations.clear();
+  GivenUp.clear();
 }
 
 void JobTracker::addJob(std::shared_ptr<const wire::TaskJobSpec> Spec) {
@@ -131,7 +133,9 @@
   const WorkerIncarnation Incarnation(Report.worker());
   if (!Report.complete()) {
     if (Report.lapsed())
-      expireLeases(NodeId(Report.node()), Now);
+      expireLeases({NodeId(Report.node()), Incarnation,
+                    Epoch(Report.lapsed_epoch()), Report.lapsed_revision()},
+                   Now);
     return;
   }
   adoptIncarnation(Report, Now);
@@ -163,11 +167,14 @@
     if (!Run.checkpoint().empty())
       updateCheckpoint(At, Run.checkpoint());
   }
+  const auto Parts = std::int64_t(Report.running_parts());
+  const Milliseconds MissingTimeout =
+      MissingRunTimeout * std::max<std::int64_t>(1, 2 * Parts);
   for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
     TaskState &Task = At.Job->task(At.Task);
     if (Task.Phase == wire::TASK_PLACED && Task.Worker == Incarnation &&
         Task.Listed && !Task.StopRequested &&
-        Now.Boot - Task.LastListedAt > MissingRunTimeout) {
+        Now.Boot - Task.LastListedAt > MissingTimeout) {
       LOG4CPLUS_WARN(runLog(), LogFields("run missing from worker listing")
                                    .add("task", toText(At.Job->name(At.Task)))
                                    .add("run", Task.Run)
@@ -187,13 +194,21 @@
     TaskRef At{};
     if (findRun(End.task(), End.run(), Incarnation, At))
       applyEnd(End, At, Now);
-    else if (End.ending() == wire::RUN_DONE)
-      applyStaleDone(End, Incarnation);
+    else if (End.ending() == wire::RUN_DONE &&
+             !applyStaleDone(End, Incarnation))
+      return;
     Through = End.number();
   }
 }
 
-void JobTracker::applyStaleDone(const wire::RunEnd &End,
+bool JobTracker::isUnitPlaced(TaskRef At) const {
+  const std::vector<std::size_t> Members = gangMembers(At);
+  return std::any_of(Members.begin(), Members.end(), [&](std::size_t Member) {
+    return At.Job->task(Member).Phase == wire::TASK_PLACED;
+  });
+}
+
+bool JobTracker::applyStaleDone(const wire::RunEnd &End,
                                 const WorkerIncarnation &Incarnation) {
   const auto Name = parseTaskName(End.task());
   const auto Job = Name ? Jobs.find(Name->Job) : Jobs.end();
@@ -201,13 +216,22 @@
       Job == Jobs.end() ? std::nullopt : Job->second.position(*Name);
   if (!Position || Job->second.task(*Position).Phase == wire::TASK_DONE ||
       Job->second.step(*Position).long_running())
-    return;
-  LOG4CPLUS_WARN(runLog(), LogFields("task completed by an earlier run")
-                               .add("task", End.task())
-                               .add("run", End.run())
-                               .add("expected", Job->second.task(*Position).Run)
-                               .add("worker", Incarnation));
-  completeTasks({&Job->second, *Position});
+    return true;
+  const TaskRef At{&Job->second, *Position};
+  if (!At.Job->task(At.Task).DoneByEarlierRun)
+    LOG4CPLUS_WARN(runLog(), LogFields("task completed by an earlier run")
+                                 .add("task", End.task())
+                                 .add("run", End.run())
+                                 .add("expected", At.Job->task(At.Task).Run)
+                                 .add("worker", Incarnation));
+  if (!isUnitPlaced(At)) {
+    completeTasks(At);
+    return true;
+  }
+  for (std::size_t Member : gangMembers(At))
+    At.Job->task(Member).DoneByEarlierRun = true;
+  stopMembers(At);
+  return false;
 }
 
 void JobTracker::applyEnd(const wire::RunEnd &End, TaskRef At,
@@ -267,19 +291,6 @@
   }
 }
 
-void JobTracker::expireLeases(const NodeId &Node, const ClockReading &Now) {
-  for (const TaskRef &At : placedOn(Node)) {
-    const TaskState &Task = At.Job->task(At.Task);
-    if (Task.Phase != wire::TASK_PLACED)
-      continue;
-    LOG4CPLUS_INFO(runLog(), LogFields("lease of run expired")
-                                 .add("task", toText(At.Job->name(At.Task)))
-                                 .add("run", Task.Run)
-                                 .add("worker", Task.Worker));
-    requeue(At, Now, Milliseconds(0));
-  }
-}
-
 std::set<NodeId> JobTracker::nodesWithRuns() {
   updatePlacedIndex();
   std::set<NodeId> Nodes;
@@ -306,6 +317,7 @@
   for (std::size_t Member : gangMembers(At)) {
     TaskState &Task = At.Job->task(Member);
     Task.Phase = wire::TASK_DONE;
+    Task.DoneByEarlierRun = false;
     Task.StopRequested = false;
     Task.Lost = false;
   }
@@ -325,10 +337,13 @@
   Task.Listed = false;
   Task.StopRequested = false;
   Task.Lost = false;
+  Task.OrderRevision = 0;
   Task.Percent = 0;
   Task.WaitingSince = Now.Boot;
   // The other members of a gang cannot continue without this one.
   stopMembers(At);
+  if (Task.DoneByEarlierRun && !isUnitPlaced(At))
+    completeTasks(At);
   if (Delay.count() > 0)
     RetryNotBefore[toText(At.Job->name(At.Task))] = Now.Boot + Delay;
   Dirty.insert(At.Job->id());
@@ -341,8 +356,8 @@
   TaskState &FailureCounter = Job.task(Job.firstOfUnit(At.Task));
   ++FailureCounter.Failures;
   requeue(At, Now, Milliseconds(0));
-  if (LongRunning || FailureCounter.Failures < Job.spec().max_attempts() ||
-      Job.isOver())
+  if (LongRunning || Job.task(At.Task).Phase == wire::TASK_DONE ||
+      FailureCounter.Failures < Job.spec().max_attempts() || Job.isOver())
     return;
   fail(Job);
   LOG4CPLUS_INFO(logOf("jobs"), LogFields("job failed")
@@ -387,41 +402,4 @@
   }
 }
 
-wire::TaskOrders JobTracker::ordersFor(const wire::TaskReport &Report) {
-  const WorkerIncarnation Incarnation(Report.worker());
-  wire::TaskOrders Orders;
-  Orders.set_worker(Report.worker());
-  std::set<std::pair<std::string, std::uint64_t>> Known;
-  for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
-    const TaskState &Task = At.Job->task(At.Task);
-    if (Task.Phase != wire::TASK_PLACED || Task.Worker != Incarnation)
-      continue;
-    const std::string Name = toText(At.Job->name(At.Task));
-    Known.insert({Name, Task.Run});
-    if (Task.StopRequested) {
-      wire::RunKey &Stop = *Orders.add_stops();
-      Stop.set_task(Name);
-      Stop.set_run(Task.Run);
-    } else if (!Task.Listed) {
-      wire::StartOrder &Start = *Orders.add_starts();
-      Start.set_task(Name);
-      Start.set_run(Task.Run);
-      Start.set_payload(At.Job->spec().payload());
-      Start.set_checkpoint(Task.Checkpoint);
-      Start.set_may_have_been_sent(Task.OrderedByAgent != Report.agent_life());
-    }
-  }
-  // Stops runs that the worker lists but that are not placed there.
-  for (const wire::RunStatus &Run : Report.running())
-    if (!Known.count({Run.task(), Run.run()})) {
-      wire::RunKey &Stop = *Orders.add_stops();
-      Stop.set_task(Run.task());
-      Stop.set_run(Run.run());
-    }
-  if (const auto Through = AcknowledgedEnds.find(Incarnation);
-      Through != AcknowledgedEnds.end())
-    Orders.set_acknowledged_end(Through->second);
-  return Orders;
-}
-
 } // namespace baobabcove
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace baobabcove {
@@ -22,6 +23,21 @@
   std::int64_t UnixMs = 0;
 };
 
+/// The leases of a node's worker that are certain to have expired, and the
+/// orders whose starts its agent will not send any more.
+struct ExpiredLeases {
+  NodeId Node;
+  /// The worker incarnation that the agent reports; empty if it knows of none.
+  WorkerIncarnation Worker;
+  /// The agent takes no orders of an epoch below this one.
+  Epoch Term;
+  /// The starts of all orders up to this revision are void.
+  std::uint64_t Revision = 0;
+};
+
+/// A run of a task, as agents name it.
+using RunName = std::pair<std::string, std::uint64_t>;
+
 /// The expected completion of one occurrence of a job.
 struct JobForecast {
   /// Whether it can still complete within its objective, within the multiple of
@@ -44,6 +60,8 @@
 
   /// Removes all jobs and the state of their runs.
   void clear();
+  /// Sets the epoch of the coordinator whose orders this tracker makes.
+  void beginTerm(Epoch Term) { CurrentTerm = Term; }
 
   void addJob(std::shared_ptr<const wire::TaskJobSpec> Spec);
   void cancel(const JobId &Id, const ClockReading &Now);
@@ -52,9 +70,16 @@
 
   /// Applies a report from the agent of a worker.
   void applyReport(const wire::TaskReport &Report, const ClockReading &Now);
-  /// Requeues all runs on workers of \p Node; their leases must be certain to
-  /// have expired.
+  /// Requeues the runs that \p Expired proves to have ended and to be unable to
+  /// start.
+  void expireLeases(const ExpiredLeases &Expired, const ClockReading &Now);
+  /// Requeues all runs on workers of \p Node, whose agent has orders for none
+  /// of them and gets none.
   void expireLeases(const NodeId &Node, const ClockReading &Now);
+  /// Returns the runs that expired leases have ended since the last call and
+  /// that the worker never listed. Their starts may still be on their way and
+  /// must be barred before the worker gets a lease again.
+  std::vector<RunName> takeGivenUp();
 
   /// Marks jobs with new checkpoints as dirty, at most once per checkpoint
   /// period.
@@ -77,8 +102,10 @@
   void finishJobs(const ClockReading &Now);
 
   /// Returns the orders for the worker of \p Report, without the epoch and the
-  /// duration of the grant.
-  wire::TaskOrders ordersFor(const wire::TaskReport &Report);
+  /// duration of the grant. They are limited to the size of a message and, if
+  /// they contain runs that no earlier orders did, published as \p Revision.
+  wire::TaskOrders ordersFor(const wire::TaskReport &Report,
+                             std::uint64_t Revision = 1);
 
   /// Jobs whose progress has changed since it was last written to the store.
   std::set<JobId> &dirty() { return Dirty; }
@@ -113,6 +140,8 @@
   void addUnplacedRuns(const wire::TaskReport &Report,
                        PlanWorker &Worker) const;
 
+  /// Whether \p Expired proves that the run of \p Task cannot run any more.
+  bool isEndedBy(const ExpiredLeases &Expired, const TaskState &Task) const;
   TaskState *findRun(const std::string &Name, std::uint64_t Run,
                      const WorkerIncarnation &Incarnation, TaskRef &At);
   void applyRunning(const wire::TaskReport &Report,
@@ -144,10 +173,13 @@
   void restrictSuspect(PlanUnit &Unit, TaskJob &Job,
                        const ClockReading &Now) const;
   void applyEnd(const wire::RunEnd &End, TaskRef At, const ClockReading &Now);
-  /// Marks a task as done although the reported run is not its newest. Once the
-  /// end is acknowledged the task must not be started again.
-  void applyStaleDone(const wire::RunEnd &End,
+  /// Completes a task although the reported run is not its newest. Once the end
+  /// is acknowledged the task must not be started again, so a newer run is
+  /// stopped first. Returns whether the end may be acknowledged.
+  bool applyStaleDone(const wire::RunEnd &End,
                       const WorkerIncarnation &Incarnation);
+  /// Whether a member of the unit of \p At is placed.
+  bool isUnitPlaced(TaskRef At) const;
   void completeTasks(TaskRef At);
   void requeue(TaskRef At, const ClockReading &Now, Milliseconds Delay);
   void recordFailure(TaskRef At, const ClockReading &Now);
@@ -176,6 +208,8 @@
                  const ClockReading &Now);
 
   double RemotePenalty;
+  Epoch CurrentTerm;
+  std::vector<RunName> GivenUp;
   std::map<JobId, TaskJob> Jobs;
   std::map<NodeId, TaskRefs> Placed;
   /// Whether tasks may have been placed, or jobs removed, since the index was
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -198,6 +198,7 @@
   }
   const ClockReading Now = readClocks();
   Tracker.clear();
+  Tracker.beginTerm(Term.Number);
   UnpublishedCancels.clear();
   for (const StoreItem &Item : All->Items) {
     auto Spec = std::make_shared<wire::TaskJobSpec>();
@@ -223,6 +224,7 @@
       Session.HasNewReport = !Session.Report.node().empty();
       Session.Orders.Clear();
       Session.PublishedOrders.clear();
+      Session.OrdersAgent = 0;
       // Agents recognize the newest orders by this number across all terms.
       Session.Orders.set_revision(firstRevision(Term.Number));
     }
@@ -277,30 +279,34 @@
   UnpublishedCancels.clear();
 }
 
+Milliseconds TaskCoordinator::leaseExpiry() const {
+  return Milliseconds(static_cast<std::int64_t>(double(Settings.Grant.count()) /
+                                                SlowestClockRate)) +
+         LeaseExpiryMargin;
+}
+
 void TaskCoordinator::applyReports(BootInstant Now) {
   std::vector<std::pair<wire::TaskReport, BootInstant>> Received;
-  std::vector<NodeId> Expired;
+  const ClockReading Time{Now, wallClockMs()};
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     const std::set<NodeId> Busy = Tracker.nodesWithRuns();
-    const auto LeaseExpiry =
-        Milliseconds(static_cast<std::int64_t>(double(Settings.Grant.count()) /
-                                               SlowestClockRate)) +
-        LeaseExpiryMargin;
     for (auto &[Node, Session] : Sessions) {
+      const bool HasExpired =
+          Now - Session.GrantedAt > leaseExpiry() && Busy.count(Node);
       if (Session.HasNewReport) {
-        Received.emplace_back(Session.Report, Session.CalledAt);
         Session.Capacity = capacityOf(Session.Report);
-      } else if (Now - Session.GrantedAt > LeaseExpiry && Busy.count(Node))
-        Expired.push_back(Node);
+        if (Session.Report.lapsed())
+          applyExpiry(Session, {Session.CalledAt, Time.UnixMs});
+        else
+          Received.emplace_back(Session.Report, Session.CalledAt);
+      } else if (HasExpired)
+        expireLeases(Node, Session, Time);
       Session.HasNewReport = false;
     }
   }
-  const ClockReading Time{Now, wallClockMs()};
   for (const auto &[Report, ReceivedAt] : Received)
     Tracker.applyReport(Report, {ReceivedAt, Time.UnixMs});
-  for (const NodeId &Node : Expired)
-    Tracker.expireLeases(Node, Time);
 }
 
 void TaskCoordinator::decide(BootInstant Now) {
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -95,6 +95,20 @@
   /// capacity has not shrunk since.
   static bool areOrdersFor(const WorkerSession &Session,
                            const wire::TaskReport &Report);
+  /// Adds the runs to \p Reply that the agent has to bar.
+  static void addBars(WorkerSession &Session, BootInstant Now,
+                      wire::TaskOrders &Reply);
+  /// Returns how long after the last grant all leases have expired.
+  Milliseconds leaseExpiry() const;
+  /// Applies the report of expired leases of a session. The mutex must be
+  /// locked, so that the agent's next grant comes with the bars that follow
+  /// from it; so for the next two.
+  void applyExpiry(WorkerSession &Session, const ClockReading &Now);
+  /// Ends the runs of a node whose agent has not called for so long that all
+  /// leases have expired.
+  void expireLeases(const NodeId &Node, WorkerSession &Session,
+                    const ClockReading &Now);
+  void noteGivenUp(WorkerSession &Session, BootInstant Now);
   /// Returns the lowest order revision of a term, which is above those of all
   /// earlier terms.
   static std::uint64_t firstRevision(Epoch Term);
@@ -125,6 +139,7 @@
   bool HasWork = false;
   Inbox Incoming;
   std::map<NodeId, WorkerSession> Sessions;
+  std::uint64_t LastAgentSession = 0;
   /// The epoch under which orders are given; zero while none are.
   Epoch Serving;
 
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -4,12 +4,18 @@
 #include "tasks/coordination/TaskCoordinator.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace baobabcove {
 
 namespace {
 
 constexpr std::uint64_t RevisionsPerTerm = 1000000;
+/// A start that was sent is carried out within 12 s or never. The margin covers
+/// the time since its sender's grant ran out.
+constexpr Milliseconds LateStartTimeout{20000};
+/// Bars of one worker; more unanswered starts do not fit its agent's orders.
+constexpr std::size_t MaxBars = 4096;
 /// Polls that one core answers in a second beside the rounds.
 constexpr double PollsPerCore = 360;
 constexpr Milliseconds MinPollInterval{400};
@@ -18,7 +24,7 @@
 /// Whether a report calls for a round at once. An agent sends its news without
 /// a wait; its polls repeat them and are applied by the next periodic round.
 bool hasNews(const wire::TaskReport &Known, const wire::TaskReport &Report) {
-  return Report.wait_ms() == 0 || Known.agent_life() != Report.agent_life() ||
+  return Report.wait_ms() == 0 || Known.agent_life() != agentOf(Report) ||
          Known.worker() != Report.worker() ||
          Known.complete() != Report.complete() ||
          Known.lapsed() != Report.lapsed();
@@ -39,27 +45,30 @@
   const Instant Until = monotonicNow() + Milliseconds(Report.wait_ms());
   std::unique_lock<std::mutex> Lock(Mutex);
   wire::TaskOrders NotCoordinating;
-  if (Stopping || !Role || !Role->term() || !Role->isConfirmed())
+  const auto TermAtCall = Role ? Role->term() : std::nullopt;
+  if (Stopping || !TermAtCall || !Role->isConfirmed())
     return NotCoordinating;
   WorkerSession &Session = Sessions[Node];
   const BootInstant CalledAt = BootClock::now();
   Session.CalledAt = CalledAt;
   Session.GrantedAt = std::max(Session.GrantedAt, CalledAt);
-  const wire::TaskReport &Known = Session.Report;
-  if (hasNews(Known, Report)) {
-    HasWork = true;
-    Wake.notify_all();
-  }
-  if (Known.agent_life() < Report.agent_life() ||
-      (Known.agent_life() == Report.agent_life() &&
-       Known.sequence() < Report.sequence())) {
+  const bool IsCurrent = Session.Agents.isCurrent(
+      Report, firstRevision(TermAtCall->Number) + ++LastAgentSession);
+  if (!IsCurrent)
+    Session.OtherAgentCalledAt = CalledAt;
+  if (IsCurrent && Session.Agents.isNew(Report)) {
+    if (hasNews(Session.Report, Report)) {
+      HasWork = true;
+      Wake.notify_all();
+    }
     Session.Report = Report;
+    Session.Report.set_agent_life(agentOf(Report));
     Session.HasNewReport = true;
   }
   const auto OrdersChanged = Session.OrdersChanged;
   OrdersChanged->wait_until(Lock, Until, [&] {
     Stats.count("attend_wakeups");
-    return Stopping || !Role->term() ||
+    return Stopping || !Role->term() || !IsCurrent ||
            (Serving != Epoch() &&
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
             areOrdersFor(Sessions[Node], Report));
@@ -70,10 +79,18 @@
   const auto Term = Role->term();
   if (Stopping || !Term || !Role->isConfirmed())
     return NotCoordinating;
+  WorkerSession &Replied = Sessions[Node];
   wire::TaskOrders Reply;
-  if (Serving == Term->Number && areOrdersFor(Sessions[Node], Report))
-    Reply = Sessions[Node].Orders;
-  Sessions[Node].GrantedAt = Now;
+  if (Serving == Term->Number && areOrdersFor(Replied, Report)) {
+    // Orders that the agent has are not sent again.
+    if (Replied.Orders.revision() == Report.orders_seen())
+      Reply.set_revision(Replied.Orders.revision());
+    else
+      Reply = Replied.Orders;
+  }
+  addBars(Replied, Now, Reply);
+  Replied.GrantedAt = Now;
+  Reply.set_agent_session(Replied.Agents.sessionFor(Report));
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
   Reply.set_grant_ms(static_cast<std::uint32_t>(Settings.Grant.count()));
@@ -87,9 +104,51 @@
                                    const wire::TaskReport &Report) {
   // A later report of the worker replaces the capacity of a held one.
   return Session.Orders.worker() == Report.worker() &&
+         Session.OrdersAgent == agentOf(Report) &&
          !isLessInAnyPart(capacityOf(Session.Report), Session.OrdersCapacity);
 }
 
+void TaskCoordinator::addBars(WorkerSession &Session, BootInstant Now,
+                              wire::TaskOrders &Reply) {
+  for (auto Bar = Session.Bars.begin(); Bar != Session.Bars.end();) {
+    if (Bar->second < Now) {
+      Bar = Session.Bars.erase(Bar);
+      continue;
+    }
+    wire::RunKey &Run = *Reply.add_bars();
+    Run.set_task(Bar->first.first);
+    Run.set_run(Bar->first.second);
+    ++Bar;
+  }
+}
+
+void TaskCoordinator::applyExpiry(WorkerSession &Session,
+                                  const ClockReading &Now) {
+  // A new agent incarnation may have a grant already, and does not know the
+  // starts that the one before it has sent.
+  if (Now.Boot - Session.OtherAgentCalledAt <= leaseExpiry())
+    return;
+  Tracker.applyReport(Session.Report, Now);
+  noteGivenUp(Session, Now.Boot);
+}
+
+void TaskCoordinator::expireLeases(const NodeId &Node, WorkerSession &Session,
+                                   const ClockReading &Now) {
+  // No agent gets these orders from now on, not even if the store delays the
+  // next ones.
+  Session.OrdersAgent = 0;
+  Tracker.expireLeases({Node, WorkerIncarnation(Session.Report.worker()),
+                        Current, std::numeric_limits<std::uint64_t>::max()},
+                       Now);
+  noteGivenUp(Session, Now.Boot);
+}
+
+void TaskCoordinator::noteGivenUp(WorkerSession &Session, BootInstant Now) {
+  for (const RunName &Run : Tracker.takeGivenUp())
+    if (Session.Bars.size() < MaxBars)
+      Session.Bars[Run] = Now + LateStartTimeout;
+}
+
 std::uint64_t TaskCoordinator::firstRevision(Epoch Term) {
   return Term.value() * RevisionsPerTerm;
 }
@@ -107,14 +166,16 @@
     if (isLessInAnyPart(Session.Capacity, Session.OrdersCapacity))
       Session.OrdersChanged->notify_all();
     Session.OrdersCapacity = Session.Capacity;
-    wire::TaskOrders Orders = Tracker.ordersFor(Session.Report);
+    const std::uint64_t Next =
+        std::max(Session.Orders.revision(), firstRevision(Serving)) + 1;
+    wire::TaskOrders Orders = Tracker.ordersFor(Session.Report, Next);
     std::string Serialized = Orders.SerializeAsString();
-    if (Serialized == Session.PublishedOrders)
+    if (Serialized == Session.PublishedOrders &&
+        Session.OrdersAgent == Session.Report.agent_life())
       continue;
-    const std::uint64_t Last =
-        std::max(Session.Orders.revision(), firstRevision(Serving));
-    Orders.set_revision(Last + 1);
+    Orders.set_revision(Next);
     Session.Orders = std::move(Orders);
+    Session.OrdersAgent = Session.Report.agent_life();
     Session.PublishedOrders = std::move(Serialized);
     Session.OrdersChanged->notify_all();
   }
--- a/src/tasks/coordination/WorkerSession.h
+++ b/src/tasks/coordination/WorkerSession.h
@@ -5,9 +5,12 @@
 #include "tasks.pb.h"
 #include "tasks/Resources.h"
 #include "tasks/TaskJob.h"
+#include "tasks/coordination/AgentAdmission.h"
+#include "tasks/coordination/JobTracker.h"
 
 #include <condition_variable>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -15,7 +18,12 @@
 
 /// The coordinator's state for one agent.
 struct WorkerSession {
+  /// The newest report of the current agent incarnation, which its agent_life
+  /// identifies.
   wire::TaskReport Report;
+  AgentAdmission Agents;
+  /// When an agent incarnation last called that was not the current one.
+  BootInstant OtherAgentCalledAt{};
   /// Whether the report has not been processed yet.
   bool HasNewReport = false;
   /// When the runs of the worker were last allowed to continue.
@@ -24,8 +32,13 @@
   BootInstant CalledAt{};
   /// The current reply to the agent.
   wire::TaskOrders Orders;
+  /// The agent incarnation that the reply was made for. No other one gets it.
+  std::uint64_t OrdersAgent = 0;
   /// The reply without its revision, serialized, to detect changes.
   std::string PublishedOrders;
+  /// Runs that were given up while their starts may be on their way, with the
+  /// time until which they may.
+  std::map<RunName, BootInstant> Bars;
   /// Notified when the orders change. Calls that wait for them share it, so
   /// that it outlives the session.
   std::shared_ptr<std::condition_variable> OrdersChanged =
--- a/tests/tasks/agent/RunOrderTrackerTest.cpp
+++ b/tests/tasks/agent/RunOrderTrackerTest.cpp
@@ -78,3 +78,36 @@
   RunOrders.update(stop(), at(1001));
   CHECK_FALSE(RunOrders.isStartPending(Run));
 }
+
+// Pattern: an order for which the queue has no room is never sent.
+TEST(RunOrderTracker, ReturnsAPostponedOrderAgain) {
+  LONGS_EQUAL(1, RunOrders.update(start(), at(1000)).size());
+  RunOrders.postpone(Run);
+  LONGS_EQUAL(1, RunOrders.update(start(), at(1001)).size());
+  LONGS_EQUAL(0, RunOrders.update(start(), at(1002)).size());
+}
+
+// Pattern: a run is given up with the leases, and its start is sent later.
+TEST(RunOrderTracker, NeverSendsAVoidStart) {
+  RunOrders.update(start(), at(1000));
+  RunOrders.voidStarts();
+  CHECK_FALSE(RunOrders.isStartPending(Run));
+  LONGS_EQUAL(0, RunOrders.update(start(), at(1001)).size());
+  LONGS_EQUAL(wire::REFUSED_LATE, RunOrders.refusals().at(0).reason());
+}
+
+TEST(RunOrderTracker, BarsAVoidStartThatMayHaveBeenSent) {
+  RunOrders.update(start(), at(1000));
+  RunOrders.markSent(Run);
+  RunOrders.voidStarts();
+  LONGS_EQUAL(0, RunOrders.refusals().size());
+  const auto Send = RunOrders.update(start(), at(1001));
+  LONGS_EQUAL(1, Send.size());
+  CHECK_TRUE(Send.front().second);
+  wire::TaskOrders Repeated = start();
+  Repeated.mutable_starts(0)->set_may_have_been_sent(true);
+  RunOrders.clear();
+  RunOrders.update(Repeated, at(1002));
+  RunOrders.voidStarts();
+  CHECK_TRUE(RunOrders.update(Repeated, at(1003)).front().second);
+}
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -55,6 +55,7 @@
   int Starts = 0;
   int Listings = 0;
   bool LosesStarts = false;
+  bool RefusesStops = false;
   /// Whether calls get no answer and have no effect.
   bool Silent = false;
   /// Whether connections are refused: no process listens.
@@ -88,6 +89,8 @@
   }
   OrderAnswer stop(const wire::RunKey &Run, Epoch) override {
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    if (Worker.RefusesStops)
+      return {};
     Worker.Barred.insert({Run.task(), Run.run()});
     return {CallOutcome::Done, wire::REFUSAL_REASON_UNSPECIFIED, ""};
   }
@@ -485,3 +488,84 @@
   STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
   LONGS_EQUAL(0, last().lost_runs_size());
 }
+
+// Pattern: orders reach an agent whose worker is silent and whose leases have
+// expired. The coordinator gives the runs up, and the agent starts them when
+// the worker answers.
+TEST(TaskAgent, SendsNoStartThatItReceivedBeforeItReportedExpiredLeases) {
+  grant(Milliseconds(300));
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  silenceWorker();
+  CHECK_TRUE(waitUntil([&] { return last().lapsed(); }));
+  LONGS_EQUAL(0, last().lapsed_revision());
+  grant(Milliseconds(6000));
+  order(3);
+  CHECK_TRUE(waitUntil([&] { return last().lapsed_revision() == 3; }));
+  LONGS_EQUAL(5, last().lapsed_epoch());
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Silent = false;
+  }
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  CHECK_TRUE(waitUntil([&] { return last().refusals_size() == 1; }));
+  LONGS_EQUAL(0, Worker.Starts);
+}
+
+// Pattern: more orders than the agent's queue holds are dropped and never
+// carried out.
+TEST(TaskAgent, StartsMoreRunsThanItsQueueHolds) {
+  constexpr int Runs = 1200;
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_revision(1);
+    for (int Run = 0; Run < Runs; ++Run) {
+      wire::StartOrder &Start = *Orders.add_starts();
+      Start.set_task("j.0.0." + std::to_string(Run));
+      Start.set_run(1);
+      Start.set_payload(std::string(100, 'x'));
+    }
+  }
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == Runs; }));
+  LONGS_EQUAL(Runs, Worker.Starts);
+}
+
+// Pattern: the coordinator names a start that an earlier agent sent; it must
+// not be carried out under the lease that this agent gives.
+TEST(TaskAgent, GivesNoLeaseBeforeTheCoordinatorsBarsAreAcknowledged) {
+  Agent->stop();
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Deadline = Milliseconds(0);
+    Worker.RefusesStops = true;
+  }
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Last.Clear();
+    wire::RunKey &Bar = *Orders.add_bars();
+    Bar.set_task("j.0.0.9");
+    Bar.set_run(4);
+  }
+  startAgent();
+  Agent->onHeartbeat(heartbeat(7, 1));
+  CHECK_TRUE(waitUntil([&] { return last().sequence() > 5; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    LONGS_EQUAL(0, Worker.Deadline.count());
+    Worker.RefusesStops = false;
+  }
+  CHECK_TRUE(waitUntil([&] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Deadline.count() > 0;
+  }));
+  LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.9", 4}));
+}
+
+TEST(TaskAgent, RepeatsTheSessionThatTheCoordinatorSends) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_agent_session(77);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().agent_session() == 77; }));
+  CHECK(last().agent_incarnation() != 0);
+}
--- a/tests/tasks/coordination/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -1,5 +1,8 @@
 #include "tasks/coordination/JobTracker.h"
 
+#include <limits>
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace baobabcove;
@@ -156,6 +159,8 @@
   LONGS_EQUAL(1, job("j").task(0).Failures);
 }
 
+// Pattern: a start of the newer run is still on its way when the end of the
+// earlier one is acknowledged, and the task starts again.
 TEST(JobTracker, CompletesATaskByTheEndOfAnEarlierRun) {
   Tracker.addJob(jobOf("j", 1));
   wire::TaskReport Report = reportOf("n1");
@@ -166,7 +171,16 @@
   LONGS_EQUAL(2, job("j").task(0).Run);
   end(Report, "j.0.0.0", 1, wire::RUN_DONE);
   Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).stops_size());
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).acknowledged_end());
+  wire::RunRefusal &Refusal = *Report.add_refusals();
+  Refusal.set_task("j.0.0.0");
+  Refusal.set_run(2);
+  Refusal.set_reason(wire::REFUSED_BARRED);
+  Tracker.applyReport(Report, Now);
   LONGS_EQUAL(wire::TASK_DONE, job("j").task(0).Phase);
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(2, Tracker.ordersFor(Report).acknowledged_end());
 }
 
 TEST(JobTracker, FailsAJobAfterItsLastAttempt) {
@@ -537,9 +551,10 @@
   Tracker.applyReport(Report, Now);
   Tracker.plan({Report}, Config, Now);
   list(Report, "j.0.0.0", 2);
-  end(Report, "j.0.0.0", 1, wire::RUN_DONE);
+  wire::TaskReport Other = reportOf("n2");
+  end(Other, "j.0.0.0", 1, wire::RUN_DONE);
   Tracker.applyReport(Report, Now);
-  LONGS_EQUAL(wire::TASK_DONE, job("j").task(0).Phase);
+  Tracker.applyReport(Other, Now);
   LONGS_EQUAL(1, Tracker.ordersFor(Report).stops_size());
   auto Whole = jobOf("whole", 1);
   Whole->mutable_steps(0)->set_accelerators(8);
@@ -547,7 +562,98 @@
   Tracker.plan({Report}, Config, Now);
   LONGS_EQUAL(wire::TASK_WAITING, job("whole").task(0).Phase);
   Report.clear_running();
+  end(Report, "j.0.0.0", 2, wire::RUN_STOPPED);
   Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(wire::TASK_DONE, job("j").task(0).Phase);
   Tracker.plan({Report}, Config, Now);
   LONGS_EQUAL(wire::TASK_PLACED, job("whole").task(0).Phase);
 }
+
+// Pattern: a report of expired leases gives up runs that were placed after it
+// was made, whose starts its agent carries out, so that they run twice.
+TEST(JobTracker, KeepsRunsThatWereOrderedAfterAReportOfExpiredLeases) {
+  Tracker.beginTerm(Epoch(5));
+  Tracker.addJob(jobOf("j", 2));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  wire::TaskReport Lapsed = Report;
+  Lapsed.set_complete(false);
+  Lapsed.set_lapsed(true);
+  Lapsed.set_lapsed_epoch(5);
+  Lapsed.set_lapsed_revision(100);
+  Tracker.applyReport(Lapsed, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("j").task(0).Phase);
+  (void)Tracker.ordersFor(Report, 101);
+  Tracker.applyReport(Lapsed, Now);
+  LONGS_EQUAL(wire::TASK_PLACED, job("j").task(0).Phase);
+  CHECK_TRUE(Tracker.takeGivenUp().empty());
+  Lapsed.set_lapsed_revision(101);
+  Tracker.applyReport(Lapsed, Now);
+  LONGS_EQUAL(wire::TASK_WAITING, job("j").task(0).Phase);
+  LONGS_EQUAL(2, Tracker.takeGivenUp().size());
+}
+
+// Pattern: an agent that still takes the orders of the last coordinator reports
+// expired leases, and a restored run is given up that it then starts.
+TEST(JobTracker, KeepsRestoredRunsUntilTheAgentKnowsTheTerm) {
+  Tracker.addJob(jobOf("j", 1));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  JobTracker Successor;
+  Successor.beginTerm(Epoch(6));
+  Successor.addJob(jobOf("j", 1));
+  Successor.restore(JobId("j"), job("j").progress(), 5);
+  Report.set_complete(false);
+  Report.set_lapsed(true);
+  Report.set_lapsed_epoch(5);
+  Report.set_lapsed_revision(std::numeric_limits<std::uint64_t>::max());
+  Successor.applyReport(Report, Now);
+  LONGS_EQUAL(1, Successor.nodesWithRuns().size());
+  Report.set_worker("n1/w#2");
+  Successor.applyReport(Report, Now);
+  LONGS_EQUAL(1, Successor.nodesWithRuns().size());
+  Report.set_lapsed_epoch(6);
+  Successor.applyReport(Report, Now);
+  LONGS_EQUAL(0, Successor.nodesWithRuns().size());
+}
+
+// Pattern: the orders for 1,200 tasks exceed the size of a message, so that the
+// agent gets neither them nor its grant.
+TEST(JobTracker, OrdersManyStartsInPartsThatFitAMessage) {
+  auto Spec = jobOf("j", 1200);
+  Spec->set_payload(std::string(4000, 'x'));
+  Spec->mutable_steps(0)->set_accelerators(0);
+  Spec->mutable_steps(0)->set_milli_cores(10);
+  Spec->mutable_steps(0)->set_memory_mb(10);
+  Tracker.addJob(Spec);
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  std::set<std::string> Ordered;
+  for (std::uint64_t Revision = 1; Ordered.size() < 1200; ++Revision) {
+    const wire::TaskOrders Orders = Tracker.ordersFor(Report, Revision);
+    CHECK(Orders.starts_size() > 0);
+    CHECK(Orders.ByteSizeLong() < (1 << 20));
+    // Until they are listed, the same starts are ordered.
+    STRCMP_EQUAL(
+        Orders.SerializeAsString().c_str(),
+        Tracker.ordersFor(Report, Revision).SerializeAsString().c_str());
+    for (const wire::StartOrder &Start : Orders.starts()) {
+      CHECK_TRUE(Ordered.insert(Start.task()).second);
+      list(Report, Start.task(), Start.run());
+    }
+    Tracker.applyReport(Report, Now);
+    CHECK(Revision < 100);
+  }
+  LONGS_EQUAL(0, Tracker.ordersFor(Report).starts_size());
+}
+
+// Pattern: a job of thousands of tasks on one worker is cancelled, and the
+// stops exceed the size of a message.
+TEST(JobTracker, OrdersManyStopsInPartsThatFitAMessage) {
+  wire::TaskReport Report = reportOf("n1");
+  for (int Run = 0; Run < 100000; ++Run)
+    list(Report, "unknown.0.0." + std::to_string(Run), 7);
+  const wire::TaskOrders Orders = Tracker.ordersFor(Report);
+  CHECK(Orders.stops_size() > 1000);
+  CHECK(Orders.ByteSizeLong() < (1 << 20));
+}
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -277,3 +277,71 @@
   LONGS_EQUAL(1, Orders.starts_size());
   LONGS_EQUAL(1, Orders.starts(0).run());
 }
+
+// Pattern: the clock steps back between two restarts of an agent, and the
+// coordinator ignores its reports while it grants the lease.
+TEST(TaskCoordinator, AcceptsARestartedAgentWithALowerStartTime) {
+  wire::TaskReport Report = reportOf("n1", 1, 0);
+  Coordinator.onJob(jobOf("job1"));
+  for (std::uint64_t Agent : {900, 100}) {
+    Report.set_agent_incarnation(Agent);
+    Report.set_agent_life(Agent);
+    Report.set_sequence(1);
+    CHECK_TRUE(waitUntil([&] {
+      Report.set_sequence(Report.sequence() + 1);
+      const wire::TaskOrders Orders = Coordinator.attend(Report);
+      Report.set_agent_session(Orders.agent_session());
+      return Orders.starts_size() == 1 &&
+             Orders.starts(0).may_have_been_sent() == (Agent == 100);
+    }));
+  }
+}
+
+// Pattern: an agent that has just started gets the orders that were made for
+// the one before it, whose runs have been given up.
+TEST(TaskCoordinator, GivesOrdersOnlyToTheAgentTheyWereMadeFor) {
+  wire::TaskReport Report = reportOf("n1", 1, 0);
+  Coordinator.onJob(jobOf("job1"));
+  CHECK_TRUE(waitUntil([&] {
+    Report.set_sequence(Report.sequence() + 1);
+    return Coordinator.attend(Report).starts_size() == 1;
+  }));
+  Kv.setFault(FakeKv::Fault::Unavailable);
+  Coordinator.onJob(jobOf("job2"));
+  const std::uint64_t Rounds = counter("rounds");
+  CHECK_TRUE(waitUntil([&] { return counter("progress_not_written") > 2; }));
+  CHECK(counter("rounds") <= Rounds + 1);
+  Report.set_agent_incarnation(5);
+  const wire::TaskOrders Orders = Coordinator.attend(Report);
+  LONGS_EQUAL(0, Orders.starts_size());
+  CHECK(Orders.grant_ms() > 0);
+  CHECK(Orders.agent_session() != 0);
+  Report.set_agent_session(Orders.agent_session());
+  Report.set_sequence(Report.sequence() + 1);
+  LONGS_EQUAL(0, Coordinator.attend(Report).starts_size());
+}
+
+// Pattern: the orders exceed the size of a message, and the agent gets no grant
+// any more, so that all runs of the worker lapse.
+TEST(TaskCoordinator, AnswersManyStartsInMessagesThatFit) {
+  auto Spec = jobOf("job1");
+  Spec->set_payload(std::string(4000, 'x'));
+  Spec->mutable_steps(0)->set_count(1200);
+  Spec->mutable_steps(0)->set_accelerators(0);
+  Coordinator.onJob(Spec);
+  wire::TaskReport Report = reportOf("n1", 1, 0);
+  CHECK_TRUE(waitUntil([&] {
+    Report.set_sequence(Report.sequence() + 1);
+    const wire::TaskOrders Orders = Coordinator.attend(Report);
+    CHECK(Orders.ByteSizeLong() < (1 << 20));
+    CHECK(Orders.grant_ms() > 0);
+    Report.set_orders_seen(Orders.revision());
+    for (const wire::StartOrder &Start : Orders.starts()) {
+      wire::RunStatus &Run = *Report.add_running();
+      Run.set_task(Start.task());
+      Run.set_run(Start.run());
+    }
+    return Report.running_size() >= 1200;
+  }));
+  LONGS_EQUAL(1200, Report.running_size());
+}
