Log void starts and order urgent starts first

Cause: an operator could not see that an agent withdrew starts, and the starts of an urgent job waited behind those of a large one on the same worker. Change: log line and counters; new starts enter the window by priority.

--- a/src/tasks/agent/RunOrderTracker.cpp
+++ b/src/tasks/agent/RunOrderTracker.cpp
@@ -59,7 +59,8 @@
     Known->second.MayBeAtWorker = true;
 }
 
-void RunOrderTracker::voidStarts() {
+std::size_t RunOrderTracker::voidStarts() {
+  std::size_t Count = 0;
   for (auto &[Run, Order] : Runs) {
     if (Order.State != OrderState::Starting)
       continue;
@@ -67,7 +68,9 @@
         Order.MayBeAtWorker ? OrderState::Stopping : OrderState::NeverStarted;
     Order.Reason = wire::REFUSED_LATE;
     Order.NeedsSend = true;
+    ++Count;
   }
+  return Count;
 }
 
 void RunOrderTracker::markStarted(const RunId &Run) {
--- a/src/tasks/agent/RunOrderTracker.h
+++ b/src/tasks/agent/RunOrderTracker.h
@@ -34,8 +34,8 @@
   /// Records that a start of \p Run is being sent to the worker.
   void markSent(const RunId &Run);
   /// Withdraws all starts that have no result yet. One that may have been sent
-  /// is barred by a stop; the others never start.
-  void voidStarts();
+  /// is barred by a stop; the others never start. Returns their number.
+  std::size_t voidStarts();
 
   /// Records that a run started, by the answer to its start or by a listing.
   void markStarted(const RunId &Run);
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -184,7 +184,7 @@
                                  Now - ListedAt < ListingTimeout));
   Report.set_lapsed(!Report.complete() && Lease.hasExpired(Now));
   if (Report.lapsed()) {
-    RunOrders.voidStarts();
+    voidStarts("leases expired");
     Report.set_lapsed_epoch(Term.value());
     Report.set_lapsed_revision(Orders.revision());
   }
@@ -233,7 +233,7 @@
   const BootInstant Now = BootClock::now();
   // The coordinator may have given up the runs of earlier orders meanwhile.
   if (Lease.hasGrantRunOut(Now))
-    RunOrders.voidStarts();
+    voidStarts("grant ran out");
   const auto Held = Milliseconds(static_cast<std::int64_t>(
       double(NewOrders.held_ms()) * SlowestClockRate));
   // So may it have given up those of an answer that arrives after its grant.
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -83,6 +83,9 @@
   wire::TaskReport report(Milliseconds Wait);
   void applyOrders(const wire::TaskOrders &Orders, BootInstant SentAt);
   void queueOrders();
+  /// Withdraws the starts received so far, whose runs the coordinator may give
+  /// up.
+  void voidStarts(const std::string &Why);
   /// Adds the running runs to \p Report, or a part of them if they are too many
   /// for one report.
   void addRunning(wire::TaskReport &Report);
--- a/src/tasks/agent/TaskAgentOrders.cpp
+++ b/src/tasks/agent/TaskAgentOrders.cpp
@@ -125,6 +125,19 @@
   ReportNeeded.notify_all();
 }
 
+void TaskAgent::voidStarts(const std::string &Why) {
+  const std::size_t Count = RunOrders.voidStarts();
+  if (Count == 0)
+    return;
+  Stats.count("starts_voided");
+  LOG4CPLUS_WARN(logOf("run"), LogFields("starts void")
+                                   .add("worker", WorkerName)
+                                   .add("starts", Count)
+                                   .add("revision", Orders.revision())
+                                   .add("epoch", Term)
+                                   .add("why", Why));
+}
+
 void TaskAgent::sendStop(const QueuedOrder &Order) {
   const RunId Run(Order.Task, Order.Run);
   WorkerCall Request;
--- a/src/tasks/coordination/JobTrackerOrders.cpp
+++ b/src/tasks/coordination/JobTrackerOrders.cpp
@@ -7,6 +7,7 @@
 #include "tasks/coordination/JobTracker.h"
 #include "tasks/coordination/OrderWindow.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace baobabcove {
@@ -91,6 +92,11 @@
     else if (!Task.Listed)
       Unpublished.push_back(At);
   }
+  // Urgent jobs do not wait for the starts of a large one.
+  std::stable_sort(Unpublished.begin(), Unpublished.end(),
+                   [](const TaskRef &L, const TaskRef &R) {
+                     return L.Job->spec().priority() < R.Job->spec().priority();
+                   });
   for (const TaskRef &At : Unpublished)
     if (!AddStart(At))
       break;
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -128,6 +128,7 @@
   // starts that the one before it has sent.
   if (Now.Boot - Session.OtherAgentCalledAt <= leaseExpiry())
     return;
+  Stats.count("lapsed_reports");
   Tracker.applyReport(Session.Report, Now);
   noteGivenUp(Session, Now.Boot);
 }
@@ -137,6 +138,7 @@
   // No agent gets these orders from now on, not even if the store delays the
   // next ones.
   Session.OrdersAgent = 0;
+  Stats.count("expired_agents");
   Tracker.expireLeases({Node, WorkerIncarnation(Session.Report.worker()),
                         Current, std::numeric_limits<std::uint64_t>::max()},
                        Now);
