Apply ends behind one that may not be acknowledged yet

Cause: an end that waits for the stop of a newer run blocked the ends after it; if the newer run's end was among them, both waited for each other. Change: later ends are applied, and only their acknowledgement waits.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -188,16 +188,19 @@
                            const WorkerIncarnation &Incarnation,
                            const ClockReading &Now) {
   std::uint64_t &Through = AcknowledgedEnds[Incarnation];
+  bool IsHeld = false;
   for (const wire::RunEnd &End : Report.ends()) {
     if (End.number() <= Through)
       continue;
     TaskRef At{};
     if (findRun(End.task(), End.run(), Incarnation, At))
       applyEnd(End, At, Now);
-    else if (End.ending() == wire::RUN_DONE &&
-             !applyStaleDone(End, Incarnation))
-      return;
-    Through = End.number();
+    else if (End.ending() == wire::RUN_DONE)
+      IsHeld = !applyStaleDone(End, Incarnation) || IsHeld;
+    // An end that may not be acknowledged yet can wait for one that follows it.
+    // Ends that are applied again concern runs that are not placed any more.
+    if (!IsHeld)
+      Through = End.number();
   }
 }
 
--- a/tests/tasks/coordination/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -183,6 +183,25 @@
   LONGS_EQUAL(2, Tracker.ordersFor(Report).acknowledged_end());
 }
 
+// Pattern: the end of the newer run follows the one that waits for it, and both
+// are repeated without end.
+TEST(JobTracker, AppliesEndsBehindOneThatIsNotAcknowledged) {
+  Tracker.addJob(jobOf("j", 1));
+  wire::TaskReport Report = reportOf("n1");
+  Tracker.plan({Report}, Config, Now);
+  end(Report, "j.0.0.0", 1, wire::RUN_STOPPED);
+  Tracker.applyReport(Report, Now);
+  Tracker.plan({Report}, Config, Now);
+  end(Report, "j.0.0.0", 1, wire::RUN_DONE);
+  end(Report, "j.0.0.0", 2, wire::RUN_FAILED);
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(wire::TASK_DONE, job("j").task(0).Phase);
+  LONGS_EQUAL(1, Tracker.ordersFor(Report).acknowledged_end());
+  Tracker.applyReport(Report, Now);
+  LONGS_EQUAL(3, Tracker.ordersFor(Report).acknowledged_end());
+  CHECK(JobStatus::Failed != job("j").status());
+}
+
 TEST(JobTracker, FailsAJobAfterItsLastAttempt) {
   Tracker.addJob(jobOf("j", 1));
   for (std::uint64_t Run = 1; Run <= 2; ++Run) {
--- a/tests/tasks/coordination/TaskModelLeaseTest.cpp
+++ b/tests/tasks/coordination/TaskModelLeaseTest.cpp
@@ -791,7 +791,7 @@
 // Pattern: a run that is never given up, or a lease that is never extended
 // again, keeps its job from ending.
 TEST(TaskModelLease, CompletesEveryJobOnceFaultsStop) {
-  for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+  for (unsigned Seed = 1; Seed <= 200; ++Seed) {
     LeaseModel Cell(Seed);
     Cell.run(500);
     if (!Cell.allDone())
