--- a/tests/tasks/coordination/TaskModelTest.cpp
+++ b/tests/tasks/coordination/TaskModelTest.cpp
@@ -4,7 +4,7 @@
 // task may run twice at once, nor start again after its end was acknowledged. A
 // deadly task must not start three times more after three workers have crashed
 // under it; any other job may fail only if two have crashed under one of its
-// tasks.
+// tasks. Leases, the store and the network are in TaskModelLeaseTest.cpp.
 
 #include "tasks/agent/RunOrderTracker.h"
 #include "tasks/coordination/JobTracker.h"
