Evacuations of data centres in the task daemons

Cause: the entries ignored op/evacuate/ZONE. Runs went on starting in a data centre that the operators had evacuated.

Each answer to an agent says for how long starts may be sent, and the agent holds later ones back and gives the worker the end of the period as their deadline. Starts that the worker has not listed are withdrawn. Without bounds.evacuate_ms nothing is limited in time.

--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -41,6 +41,11 @@
   Counters[Name] += Amount;
 }
 
+void Metrics::set(const std::string &Name, std::uint64_t Value) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Counters[Name] = Value;
+}
+
 void Metrics::sample(const std::string &Name, double Value) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   auto &Samples = Distributions[Name];
--- a/src/base/Metrics.h
+++ b/src/base/Metrics.h
@@ -20,6 +20,9 @@
   /// Adds \p Amount to the counter \p Name.
   void count(const std::string &Name, std::uint64_t Amount = 1);
 
+  /// Sets the current value of \p Name, which is shown among the counters.
+  void set(const std::string &Name, std::uint64_t Value);
+
   /// Adds a sample to the distribution \p Name. \p Value is in the unit that
   /// the name ends with, such as "_ms".
   void sample(const std::string &Name, double Value);
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -210,6 +210,8 @@
     PollWait = std::min(Milliseconds(NewOrders.poll_ms()), MaxPollWait);
   const auto Held = Milliseconds(static_cast<std::int64_t>(
       double(NewOrders.held_ms()) * SlowestClockRate));
+  Limit.apply(NewOrders, SentAt);
+  queueHeldStarts();
   GrantedUntil = std::max(GrantedUntil,
                           SentAt + Held + Milliseconds(NewOrders.grant_ms()));
   // Leases that earlier agents of this worker gave end within one grant.
@@ -394,6 +396,7 @@
   Dump->set("epoch", Term.value());
   Dump->set("running", Running.size());
   Dump->set("ends", Ends.size());
+  Dump->set("starts_held", Limit.held());
   return dumpText(Dump);
 }
 
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -7,6 +7,7 @@
 #include "store/TransactionalStore.h"
 #include "tasks/WorkerIncarnation.h"
 #include "tasks/agent/RunOrderTracker.h"
+#include "tasks/agent/StartLimit.h"
 #include "tasks/agent/WorkerLink.h"
 #include "tasks/agent/WorkerLiveness.h"
 
@@ -97,6 +98,12 @@
   void sendStop(const QueuedOrder &Order);
   /// Whether the worker's last listing contains the run.
   bool isRunning(const RunId &Run) const;
+  /// Queues the starts that were held back, if they may be sent now.
+  void queueHeldStarts();
+  /// Returns the deadline of a start on the worker's clock: the end of the
+  /// lease or of the period in which starts may be sent. The worker refuses a
+  /// start that reaches it later.
+  Milliseconds startDeadline(Milliseconds LeaseDeadline) const;
   void resetWorkerState();
 
   /// Number of orders carried out concurrently, so that an unanswered call does
@@ -157,6 +164,7 @@
   Epoch Term;
   wire::TaskOrders Orders;
   RunOrderTracker RunOrders;
+  StartLimit Limit;
   BoundedQueue<QueuedOrder> Queue;
   std::vector<std::thread> Threads;
 };
--- a/src/tasks/agent/TaskAgentOrders.cpp
+++ b/src/tasks/agent/TaskAgentOrders.cpp
@@ -13,6 +13,8 @@
 
 /// How often an idle thread checks whether to stop.
 constexpr Milliseconds QueuePollPeriod{200};
+/// Lowest rate of a worker's clock relative to real time.
+constexpr double SlowestClockRate = 0.98;
 
 const char *outcomeName(CallOutcome Outcome) {
   switch (Outcome) {
@@ -72,7 +74,17 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Request = prepareCall();
+    if (!Limit.allows(BootClock::now())) {
+      if (RunOrders.isStartPending(Run) && Limit.held() == 0)
+        LOG4CPLUS_INFO(logOf("run"), LogFields("starts held back")
+                                         .add("task", Order.Task)
+                                         .add("run", Order.Run)
+                                         .add("epoch", Request.Term));
+      Limit.hold(Run);
+      return;
+    }
     MaySend = Request.Deadline.count() > 0 && !Liveness.refuses();
+    Request.Deadline = startDeadline(Request.Deadline);
     if (Request.Link && MaySend)
       StartsSent.insert(Run);
   }
@@ -155,6 +167,21 @@
     listRuns(Milliseconds(0));
 }
 
+void TaskAgent::queueHeldStarts() {
+  for (const auto &[Task, Run] : Limit.release(BootClock::now()))
+    if (!Queue.tryPush({false, Task, Run}))
+      Limit.hold({Task, Run});
+}
+
+Milliseconds TaskAgent::startDeadline(Milliseconds LeaseDeadline) const {
+  if (Limit.until() == BootInstant::max() || WorkerClockAt == BootInstant{})
+    return LeaseDeadline;
+  const auto Left = double((Limit.until() - WorkerClockAt).count());
+  return std::min(LeaseDeadline,
+                  WorkerClock + Milliseconds(static_cast<std::int64_t>(
+                                    Left * SlowestClockRate)));
+}
+
 bool TaskAgent::isRunning(const RunId &Run) const {
   return std::any_of(
       Running.begin(), Running.end(), [&](const wire::RunStatus &Status) {
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -99,6 +99,7 @@
   Running.clear();
   Ends.clear();
   RunOrders.clear();
+  Limit.forgetHeld();
   StartsSent.clear();
   Orders.Clear();
   Listed = false;
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -51,6 +51,7 @@
   EarlyCancels.clear();
   UnflushedCheckpoints.clear();
   Reservations.clear();
+  Moves.clear();
 }
 
 void JobTracker::addJob(std::shared_ptr<const wire::TaskJobSpec> Spec) {
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -6,6 +6,8 @@
 #include "tasks/QueueConfig.h"
 #include "tasks/TaskJob.h"
 #include "tasks/planning/DurationEstimator.h"
+#include "tasks/planning/EvacuationMoves.h"
+#include "tasks/planning/Evacuations.h"
 #include "tasks/planning/TaskPlanner.h"
 #include "tasks/planning/WorkerQuarantine.h"
 
@@ -67,6 +69,9 @@
   /// Returns the nodes that have placed runs.
   std::set<NodeId> nodesWithRuns();
 
+  /// Sets which data centres take starts in the following plans.
+  void setStartRules(StartRules Next) { Starts = std::move(Next); }
+
   /// Places waiting tasks and selects runs to preempt. \p Reports holds the
   /// newest reports of the reachable agents.
   void plan(const std::vector<wire::TaskReport> &Reports,
@@ -80,6 +85,12 @@
   /// duration of the grant.
   wire::TaskOrders ordersFor(const wire::TaskReport &Report);
 
+  /// Number of runs in evacuated data centres at the last plan, and of the runs
+  /// that were moved from there and the starts that were withdrawn so far.
+  std::size_t runsInEvacuated() const { return RunsInEvacuated; }
+  std::uint64_t movedRuns() const { return MovedRuns; }
+  std::uint64_t withdrawnStarts() const { return WithdrawnStarts; }
+
   /// Jobs whose progress has changed since it was last written to the store.
   std::set<JobId> &dirty() { return Dirty; }
   /// The caller may change or remove jobs.
@@ -175,6 +186,29 @@
   void applyPlan(const TaskPlan &Plan, const PlanInput &Input,
                  const ClockReading &Now);
 
+  /// Closes the workers of \p Input, which are those of \p Reports, that take
+  /// no starts.
+  void applyStartRules(const std::vector<wire::TaskReport> &Reports,
+                       const ClockReading &Now, PlanInput &Input);
+  /// Whether the data of a rack is in evacuated data centres only.
+  bool isRackEvacuated(const RackName &Rack) const;
+  /// Withdraws starts in evacuated data centres that may not have been carried
+  /// out yet.
+  void withdrawFromEvacuated(const std::vector<wire::TaskReport> &Reports);
+  /// Whether the unit of a task may be stopped and continued elsewhere.
+  bool isMovable(const TaskJob &Job, std::size_t At) const;
+  /// Returns how many tasks of the same step are not running.
+  static std::size_t downTasks(const TaskJob &Job, std::size_t At);
+  std::vector<PlanUnit>
+  moveCandidates(const std::vector<wire::TaskReport> &Reports,
+                 const QueueConfig &Config, const ClockReading &Now);
+  void moveEvacuatedRuns(const std::vector<wire::TaskReport> &Reports,
+                         const PlanInput &Input, const TaskPlan &Plan,
+                         const QueueConfig &Config, const ClockReading &Now);
+  /// Keeps the targets of moved units free until these are placed again, and
+  /// places them first.
+  void prepareMoves(const ClockReading &Now, PlanInput &Input);
+
   double RemotePenalty;
   std::map<JobId, TaskJob> Jobs;
   std::map<NodeId, TaskRefs> Placed;
@@ -210,6 +244,23 @@
   };
   std::map<std::string, WorkSums> QueueWork;
   WorkerQuarantine Quarantine;
+
+  /// A unit that was stopped in an evacuated data centre.
+  struct EvacuationMove {
+    /// The workers for its tasks, in their order.
+    std::vector<WorkerIncarnation> Targets;
+    BootInstant Since{};
+  };
+  StartRules Starts;
+  /// Data centres by rack, as far as their workers have reported.
+  std::map<RackName, std::set<DataCentreName>> RackCentres;
+  /// Units that have not been placed again, by their first task.
+  std::map<std::pair<JobId, std::size_t>, EvacuationMove> Moves;
+  BootInstant MovesPlannedAt{};
+  bool WereStartsFresh = true;
+  std::size_t RunsInEvacuated = 0;
+  std::uint64_t MovedRuns = 0;
+  std::uint64_t WithdrawnStarts = 0;
 };
 
 } // namespace baobabcove
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -74,13 +74,19 @@
   for (auto Retry = RetryNotBefore.begin(); Retry != RetryNotBefore.end();)
     Retry = Retry->second <= Now.Boot ? RetryNotBefore.erase(Retry)
                                       : std::next(Retry);
+  withdrawFromEvacuated(Reports);
   PlanInput Input = makePlanInput(Reports, Config, Now);
-  if (Input.Units.empty())
-    return;
-  Input.Reservations = std::move(Reservations);
-  TaskPlan Plan = planTasks(Input);
-  Reservations = std::move(Plan.Reservations);
-  applyPlan(Plan, Input, Now);
+  applyStartRules(Reports, Now, Input);
+  TaskPlan Plan;
+  if (!Input.Units.empty()) {
+    Input.Reservations = std::move(Reservations);
+    prepareMoves(Now, Input);
+    Plan = planTasks(Input);
+    Reservations = Plan.Reservations;
+    applyPlan(Plan, Input, Now);
+  } else
+    prepareMoves(Now, Input);
+  moveEvacuatedRuns(Reports, Input, Plan, Config, Now);
 }
 
 PlanInput
@@ -308,7 +314,8 @@
     Unit.KeepFullyFree = static_cast<std::size_t>(
         std::lround(FullyFreeShareForUrgent * double(ReachableWorkers)));
   Unit.MayRunRemote =
-      double(WaitedMs) > RemoteWaitFactor * double(Duration.count());
+      double(WaitedMs) > RemoteWaitFactor * double(Duration.count()) ||
+      isRackEvacuated(RackName(Unit.Step->data_rack()));
   return Unit;
 }
 
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -307,8 +307,8 @@
   const ClockReading Time{Now, wallClockMs()};
   Tracker.finishJobs(Time);
   Tracker.moveStalledRuns(Time);
-  const auto Rules = Config();
-  if (!Rules)
+  const OperatorSnapshot Orders = Config();
+  if (!Orders.Config)
     return;
   std::vector<wire::TaskReport> Reachable;
   {
@@ -319,8 +319,19 @@
       if (Session.Report.complete() && Now - Session.CalledAt < ReportTimeout)
         Reachable.push_back(Session.Report);
   }
-  Tracker.plan(Reachable, *Rules, Time);
+  Tracker.setStartRules({Orders.Evacuated, Settings.EvacuationBound});
+  Tracker.plan(Reachable, *Orders.Config, Time);
   Tracker.flushCheckpoints(Time);
+  recordEvacuations(Orders.Evacuated);
+}
+
+void TaskCoordinator::recordEvacuations(const Evacuations &Known) {
+  Stats.set("evacuated_data_centres", Known.Active.size());
+  Stats.set("evacuation_runs_left", Tracker.runsInEvacuated());
+  Stats.set("evacuation_runs_moved", Tracker.movedRuns());
+  Stats.set("evacuation_starts_withdrawn", Tracker.withdrawnStarts());
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  RunsInEvacuated = Tracker.runsInEvacuated();
 }
 
 bool TaskCoordinator::persist(const CoordinatorTerm &Term) {
@@ -357,6 +368,13 @@
   auto Dump = makeDump();
   Dump->set("epoch", Serving.value());
   Dump->set("agents", Sessions.size());
+  const Evacuations Known = Config().Evacuated;
+  Dump->set("evacuated", namesOf(Known));
+  Dump->set("evacuations_age_ms",
+            Known.ConfirmedAt == BootInstant{}
+                ? -1
+                : (BootClock::now() - Known.ConfirmedAt).count());
+  Dump->set("evacuation_runs_left", RunsInEvacuated);
   return dumpText(Dump);
 }
 
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -3,7 +3,7 @@
 
 #include "base/Metrics.h"
 #include "store/TransactionalStore.h"
-#include "tasks/QueueConfig.h"
+#include "tasks/OperatorSnapshot.h"
 #include "tasks/coordination/CoordinatorRole.h"
 #include "tasks/coordination/JobTracker.h"
 #include "tasks/coordination/ProgressWriter.h"
@@ -32,6 +32,9 @@
   double RemotePenalty = 3;
   /// Share of a core that this process may use.
   double CpuShare = 1;
+  /// Time after the acknowledgement of an evacuation from which nothing starts
+  /// in the data centre; zero for no bound.
+  Milliseconds EvacuationBound{0};
 };
 
 /// Returns how long the coordinator of \p Workers workers pauses after a round.
@@ -47,7 +50,7 @@
 /// callers.
 class TaskCoordinator : public CatalogListener {
 public:
-  using ConfigSource = std::function<std::shared_ptr<const QueueConfig>()>;
+  using ConfigSource = std::function<OperatorSnapshot()>;
 
   TaskCoordinator(TransactionalStore &Kv, CoordinatorSettings Settings,
                   ConfigSource Config, Metrics &Stats);
@@ -98,6 +101,10 @@
   /// Returns the lowest order revision of a term, which is above those of all
   /// earlier terms.
   static std::uint64_t firstRevision(Epoch Term);
+  /// Sets for how long the agent of \p Report may send starts, counted from
+  /// \p CalledAt.
+  void limitStarts(const wire::TaskReport &Report, BootInstant CalledAt,
+                   wire::TaskOrders &Reply) const;
   void run();
   void round();
   bool takeOver(const CoordinatorTerm &Term);
@@ -109,6 +116,8 @@
   void publish();
   void recordRound(const RoundTimes &Times, BootInstant Now);
   void recordPublishedCancels();
+  /// Shows the evacuations and their runs among the metrics and in the dump.
+  void recordEvacuations(const Evacuations &Known);
   /// Ends the waits of all agents. The mutex must be locked.
   void notifyAllSessions();
 
@@ -125,6 +134,8 @@
   bool HasWork = false;
   Inbox Incoming;
   std::map<NodeId, WorkerSession> Sessions;
+  /// Number of runs in evacuated data centres at the last round.
+  std::size_t RunsInEvacuated = 0;
   /// The epoch under which orders are given; zero while none are.
   Epoch Serving;
 
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -80,9 +80,23 @@
   Reply.set_held_ms(static_cast<std::uint32_t>((Now - CalledAt).count()));
   Reply.set_poll_ms(static_cast<std::uint32_t>(
       pollInterval(Sessions.size(), Settings.CpuShare).count()));
+  limitStarts(Report, CalledAt, Reply);
   return Reply;
 }
 
+void TaskCoordinator::limitStarts(const wire::TaskReport &Report,
+                                  BootInstant CalledAt,
+                                  wire::TaskOrders &Reply) const {
+  const BootInstant Until =
+      StartRules(Config().Evacuated, Settings.EvacuationBound)
+          .startsUntil(DataCentreName(Report.data_centre()));
+  if (Until == BootInstant::max())
+    return;
+  Reply.set_starts_limited(true);
+  Reply.set_starts_for_ms(static_cast<std::uint32_t>(
+      std::max(Until - CalledAt, Milliseconds(0)).count()));
+}
+
 bool TaskCoordinator::areOrdersFor(const WorkerSession &Session,
                                    const wire::TaskReport &Report) {
   // A later report of the worker replaces the capacity of a held one.
--- a/src/tasks/intake/ConfigFollower.h
+++ b/src/tasks/intake/ConfigFollower.h
@@ -2,7 +2,7 @@
 #define BAOBABCOVE_TASKS_INTAKE_CONFIGFOLLOWER_H
 
 #include "baobabcove/Clock.h"
-#include "tasks/QueueConfig.h"
+#include "tasks/OperatorSnapshot.h"
 #include "tasks/intake/StoreFollower.h"
 
 #include <functional>
@@ -14,14 +14,17 @@
 /// Parses the text of a configuration.
 using ConfigReader = std::function<Expected<QueueConfig>(const std::string &)>;
 
-/// Keeps the newest configuration from the store and tracks when it was last
-/// confirmed. Never returns to an older version. Thread-safe.
+/// Keeps the newest configuration and the evacuations from the store and tracks
+/// when they were last confirmed. Never returns to an older version of the
+/// configuration. Thread-safe.
 class ConfigFollower {
 public:
   /// Watches \p Prefix and reads the configuration from \p Key, which must
-  /// start with \p Prefix.
+  /// start with \p Prefix. A key that consists of \p EvacuationPrefix and the
+  /// name of a data centre exists while that is evacuated; an empty prefix
+  /// stands for none.
   ConfigFollower(TransactionalStore &Kv, std::string Prefix, std::string Key,
-                 ConfigReader Read);
+                 ConfigReader Read, std::string EvacuationPrefix = "");
 
   void start() { Follower.start(); }
   void stop() { Follower.stop(); }
@@ -29,6 +32,9 @@
   /// Returns null before the first configuration.
   std::shared_ptr<const QueueConfig> current() const;
 
+  /// Returns the configuration and the evacuations of one reading.
+  OperatorSnapshot snapshot() const;
+
   /// Returns the time since it was last confirmed that no newer version exists.
   Milliseconds age() const;
 
@@ -37,12 +43,22 @@
   bool isCurrent(BootInstant Now) const;
 
 private:
+  /// Applies a listing of all keys.
+  void replaceAll(const StoreChanges &All);
   void apply(const StoreChanges &Changes);
+  // The mutex must be locked.
+  void applyConfig(const StoreItem &Item);
+  void evacuate(const DataCentreName &Centre, std::int64_t Revision);
+  void restore(const DataCentreName &Centre, std::int64_t Revision);
+  /// Returns the data centre that the key evacuates; empty for another key.
+  DataCentreName evacuatedBy(const std::string &EvacuationKey) const;
 
   const std::string Key;
   const ConfigReader Read;
+  const std::string EvacuationPrefix;
   mutable std::mutex Mutex;
   std::shared_ptr<const QueueConfig> Newest;
+  Evacuations Evacuated;
   StoreFollower Follower;
 };
 
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -36,3 +36,10 @@
     CHECK(ResultCode::SettingsInvalid ==
           parsePlatformSettings(Valid + Line + "\n").error().Code);
 }
+
+// Pattern: starts are limited in time on a deployment that asks for no bound.
+TEST(PlatformSettings, ReadsTheBoundOfEvacuations) {
+  LONGS_EQUAL(0, parsePlatformSettings(Valid)->EvacuationBound.count());
+  LONGS_EQUAL(5000, parsePlatformSettings(Valid + "bounds.evacuate_ms=5000\n")
+                        ->EvacuationBound.count());
+}
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -51,6 +51,8 @@
   std::vector<wire::RunEnd> Ends;
   std::uint64_t Acknowledged = 0;
   Milliseconds Deadline{0};
+  /// Deadline of the last start.
+  Milliseconds StartDeadline{0};
   std::set<RunId> Barred;
   int Starts = 0;
   int Listings = 0;
@@ -78,9 +80,11 @@
 public:
   explicit FakeLink(FakeWorker &Worker) : Worker(Worker) {}
 
-  OrderAnswer start(const WorkerStart &Order, Milliseconds, Epoch) override {
+  OrderAnswer start(const WorkerStart &Order, Milliseconds Deadline,
+                    Epoch) override {
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
     ++Worker.Starts;
+    Worker.StartDeadline = Deadline;
     if (Worker.LosesStarts)
       return {};
     Worker.Running[Order.Task] = Order.Run;
@@ -210,6 +214,28 @@
     Orders.set_grant_ms(static_cast<std::uint32_t>(Duration.count()));
   }
 
+  /// Sets how long the coordinator allows starts to be sent.
+  void limitStarts(std::uint32_t ForMs) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_starts_limited(true);
+    Orders.set_starts_for_ms(ForMs);
+  }
+
+  int starts() {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Starts;
+  }
+
+  /// Replaces the ordered start by a stop.
+  void withdraw(std::uint64_t Revision) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_revision(Revision);
+    wire::RunKey &Stop = *Orders.add_stops();
+    Stop.set_task(Orders.starts(0).task());
+    Stop.set_run(Orders.starts(0).run());
+    Orders.clear_starts();
+  }
+
   void order(std::uint64_t Revision, bool MayHaveBeenSent = false) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Orders.set_revision(Revision);
@@ -485,3 +511,57 @@
   STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
   LONGS_EQUAL(0, last().lost_runs_size());
 }
+
+// Pattern: an agent that received a start before its data centre was evacuated
+// sends it after the bound.
+TEST(TaskAgent, HoldsAStartBackUntilTheCoordinatorAllowsIt) {
+  limitStarts(0);
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().orders_seen() == 1; }));
+  std::this_thread::sleep_for(Milliseconds(100));
+  LONGS_EQUAL(0, starts());
+  limitStarts(3000);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  LONGS_EQUAL(1, starts());
+}
+
+// Pattern: a start that is held back is sent although it was withdrawn.
+TEST(TaskAgent, NeverSendsAWithdrawnStart) {
+  limitStarts(0);
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().orders_seen() == 1; }));
+  withdraw(2);
+  CHECK_TRUE(waitUntil([&] { return last().refusals_size() == 1; }));
+  limitStarts(3000);
+  CHECK_TRUE(waitUntil([&] {
+    return Agent->dump().find("\"starts_held\":0") != std::string::npos;
+  }));
+  std::this_thread::sleep_for(Milliseconds(50));
+  LONGS_EQUAL(0, starts());
+}
+
+// Pattern: the agent goes on to send starts after the period that an earlier
+// answer allowed. An answer for less than the delivery time allows none.
+TEST(TaskAgent, SendsNoStartAfterThePeriodOfAnEarlierAnswer) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  limitStarts(300);
+  std::this_thread::sleep_for(Milliseconds(50));
+  limitStarts(100);
+  std::this_thread::sleep_for(Milliseconds(400));
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().orders_seen() == 1; }));
+  std::this_thread::sleep_for(Milliseconds(100));
+  LONGS_EQUAL(0, starts());
+}
+
+// Pattern: a start that the worker receives late begins after the period.
+TEST(TaskAgent, LimitsTheDeadlineOfAStart) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  limitStarts(2000);
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+  // The worker's clock stands at 1000.
+  CHECK_TRUE(Worker.StartDeadline > Milliseconds(1000));
+  CHECK_TRUE(Worker.StartDeadline < Milliseconds(3000));
+}
