Use cold workers last and within their rate of starts

Cause: cold_remaining_ms of a heartbeat and cold_start_s and cold_per_s of a service were ignored, so that a worker that had just started got as many runs as a warm one.

Change: the agent reports what is left of the cold period.

--- a/src/tasks/QueueConfig.h
+++ b/src/tasks/QueueConfig.h
@@ -34,11 +34,21 @@
   std::int64_t GuaranteedAccelerators = 0;
 };
 
+/// How the workers of a service behave while they are cold.
+struct ServiceRule {
+  /// False if new workers of the service are never cold.
+  bool HasColdPeriod = true;
+  /// Starts per second that a cold worker serves; zero for no limit.
+  double ColdStartsPerSecond = 0;
+};
+
 /// One version of the operators' configuration of queues and workspaces.
 struct QueueConfig {
   std::int64_t Version = 0;
   std::vector<QueueRule> Queues;
   std::map<WorkspaceId, WorkspaceRule> Workspaces;
+  /// Services without an entry have the default rule.
+  std::map<ServiceName, ServiceRule> Services;
   /// Workspaces by API key.
   std::map<std::string, WorkspaceId> Keys;
 };
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -187,6 +187,8 @@
   Report.set_rack(Worker->Rack.str());
   Report.set_draining(Worker->Draining);
   Report.set_remaining_ms(Worker->Remaining.count());
+  Report.set_cold_remaining_ms(
+      std::max(ColdUntil - Now, Milliseconds(0)).count());
   *Report.mutable_running() = {Running.begin(), Running.end()};
   *Report.mutable_ends() = {Ends.begin(), Ends.end()};
   for (wire::RunRefusal &Refusal : RunOrders.refusals())
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -128,6 +128,8 @@
   std::uint64_t Sequence = 0;
 
   std::optional<WorkerHeartbeat> Worker;
+  /// End of the worker's cold period.
+  BootInstant ColdUntil{};
   std::shared_ptr<WorkerLink> Link;
   /// The worker incarnation; empty before the first heartbeat.
   WorkerIncarnation WorkerName;
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -26,6 +26,7 @@
   if (NewIncarnation && Worker)
     noteEnd(false);
   Worker = Heartbeat;
+  ColdUntil = BootClock::now() + Heartbeat.ColdRemaining;
   if (NewIncarnation) {
     LOG4CPLUS_INFO(logOf("worker"),
                    LogFields("worker announced")
--- a/src/tasks/agent/WorkerLink.h
+++ b/src/tasks/agent/WorkerLink.h
@@ -29,6 +29,8 @@
   bool Draining = false;
   /// Minimum time until a draining worker terminates.
   Milliseconds Remaining{0};
+  /// How long the worker will still be cold.
+  Milliseconds ColdRemaining{0};
   std::int64_t MilliCores = 0;
   std::int64_t MemoryMb = 0;
   std::int64_t Accelerators = 0;
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -5,6 +5,7 @@
 #include "tasks.pb.h"
 #include "tasks/QueueConfig.h"
 #include "tasks/TaskJob.h"
+#include "tasks/planning/ColdWorkers.h"
 #include "tasks/planning/DurationEstimator.h"
 #include "tasks/planning/EvacuationMoves.h"
 #include "tasks/planning/Evacuations.h"
@@ -41,8 +42,8 @@
 /// reports, cancellations and plans to them. Performs no I/O. Not thread-safe.
 class JobTracker {
 public:
-  explicit JobTracker(double RemotePenalty = 3)
-      : RemotePenalty(RemotePenalty) {}
+  explicit JobTracker(double RemotePenalty = 3, ColdLimits Cold = {})
+      : RemotePenalty(RemotePenalty), Cold(Cold) {}
 
   /// Removes all jobs and the state of their runs.
   void clear();
@@ -245,6 +246,8 @@
   std::map<std::string, WorkSums> QueueWork;
   WorkerQuarantine Quarantine;
 
+  ColdWorkers Cold;
+
   /// A unit that was stopped in an evacuated data centre.
   struct EvacuationMove {
     /// The workers for its tasks, in their order.
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -106,6 +106,7 @@
     Worker.Capacity = capacityOf(Report);
     Worker.Free = Worker.Capacity;
     addUnplacedRuns(Report, Worker);
+    Cold.describe(Report, Config, Now.Boot, Worker);
     Worker.AcceptsTasks =
         !Report.draining() &&
         !Quarantine.isQuarantined(NodeId(Report.node()), Now.Boot);
@@ -386,6 +387,8 @@
     Task.Phase = wire::TASK_PLACED;
     IsPlacedIndexStale = true;
     Task.Worker = Input.Workers[Start.Worker].Incarnation;
+    if (Input.Workers[Start.Worker].IsCold)
+      Cold.noteStart(Task.Worker, Now.Boot);
     Task.PlacedAt = Now.Boot;
     Task.OrderedByAgent = Input.Workers[Start.Worker].AgentIncarnation;
     Task.Listed = false;
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -63,7 +63,7 @@
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
     : Kv(Kv), Settings(Settings), Config(std::move(Config)), Stats(Stats),
-      Tracker(Settings.RemotePenalty), Writer(Kv) {}
+      Tracker(Settings.RemotePenalty, Settings.Cold), Writer(Kv) {}
 
 TaskCoordinator::~TaskCoordinator() { stop(); }
 
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -35,6 +35,8 @@
   /// Time after the acknowledgement of an evacuation from which nothing starts
   /// in the data centre; zero for no bound.
   Milliseconds EvacuationBound{0};
+  /// Limits for starts on cold workers.
+  ColdLimits Cold{};
 };
 
 /// Returns how long the coordinator of \p Workers workers pauses after a round.
--- a/src/tasks/planning/EvacuationMoves.cpp
+++ b/src/tasks/planning/EvacuationMoves.cpp
@@ -25,7 +25,9 @@
   };
   for (const PlannedStart &Start : Plan.Starts) {
     Take(*UnitOf.at({Start.Job, Start.Task}), Start.Worker);
-    ++Input.Workers[Start.Worker].Runs;
+    PlanWorker &Worker = Input.Workers[Start.Worker];
+    ++Worker.Runs;
+    Worker.StartsLeft -= Worker.StartsLeft > 0 ? 1 : 0;
   }
   for (const auto &[Key, Workers] : Plan.Reservations)
     for (const WorkerIncarnation &Worker : Workers)
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -108,7 +108,9 @@
     const auto Share = [](std::int64_t Left, std::int64_t Of) {
       return Of > 0 ? double(Left) / double(Of) : 0.0;
     };
-    return 2 * Share(Available.Accelerators - Need.Accelerators,
+    constexpr double AboveAnyWarmWorker = 100;
+    return (In.Workers[W].IsCold ? AboveAnyWarmWorker : 0) +
+           2 * Share(Available.Accelerators - Need.Accelerators,
                      Capacity.Accelerators) +
            Share(Available.MemoryMb - Need.MemoryMb, Capacity.MemoryMb) +
            Share(Available.MilliCores - Need.MilliCores, Capacity.MilliCores);
@@ -140,6 +142,8 @@
         if (!Filter(W) || !Available[W].covers(Need) ||
             !isEligible(In.Workers[W], Unit) || !mayJoin(In.Workers[W], Unit))
           continue;
+        if (In.Workers[W].IsCold && Taken[W] >= In.Workers[W].StartsLeft)
+          continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
         if (KeepsSomeFree && isFullyFree(W, Available[W]) &&
@@ -256,6 +260,7 @@
     for (std::size_t W : Placement) {
       PlanWorker &Worker = In.Workers[W];
       ++Worker.Runs;
+      Worker.StartsLeft -= Worker.StartsLeft > 0 ? 1 : 0;
       Worker.HasRunOnProbation = true;
       Worker.HasSuspect = Worker.HasSuspect || Unit.Isolated;
     }
--- a/src/tasks/planning/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -7,6 +7,7 @@
 #include "tasks/TaskJob.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,6 +30,10 @@
   /// Whether new tasks may be placed: the worker is reachable and neither
   /// draining nor quarantined.
   bool AcceptsTasks = true;
+  /// Whether the worker is cold and is used after the others.
+  bool IsCold = false;
+  /// How many more runs it may get now.
+  std::uint32_t StartsLeft = std::numeric_limits<std::uint32_t>::max();
   /// Number of all runs, including those that are stopping.
   std::uint32_t Runs = 0;
   /// Whether any of the runs has not survived its probation.
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -13,7 +13,7 @@
   {"name":"r1","host":"h.example","prefix":"/a/","target_latency_ms":400,
    "priority":0,"service":"s","max_attempts":4,"stretch":1.5,
    "allow_anonymous":false}],
-  "services":[{"name":"s"}],
+  "services":[{"name":"s","cold_start_s":8,"cold_per_s":2.5}],
   "tenants":[{"name":"t","api_keys":["k1","k2"],"guaranteed":{"gpu":16}}]})";
 
 const std::string JobJson = R"({"spec":"text","steps":[
@@ -26,7 +26,8 @@
 const std::string HeartbeatJson = R"({"service":"s","address":"10.1.0.9:80",
   "zone":"z","version":"v1","slots":8,"state":"draining","remaining_ms":4000,
   "capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"],
-  "clock_ms":482113,"sequence":4,"born":1790292317714})";
+  "clock_ms":482113,"sequence":4,"born":1790292317714,
+  "cold_remaining_ms":2500})";
 
 const std::string RunsJson = R"({"clock_ms":482113,"born":3,
   "running":[["j.0.1.17",2,"00ab",41,350]],
@@ -63,6 +64,9 @@
   LONGS_EQUAL(1, Config->Queues.size());
   LONGS_EQUAL(400, Config->Queues[0].TargetLatency.count());
   DOUBLES_EQUAL(1.5, Config->Queues[0].Stretch, 0);
+  const ServiceRule &Service = Config->Services.at(ServiceName("s"));
+  CHECK_TRUE(Service.HasColdPeriod);
+  DOUBLES_EQUAL(2.5, Service.ColdStartsPerSecond, 0);
   STRCMP_EQUAL("t", Config->Keys.at("k2").str().c_str());
   LONGS_EQUAL(16,
               Config->Workspaces.at(WorkspaceId("t")).GuaranteedAccelerators);
@@ -116,6 +120,7 @@
   const auto Heartbeat = readHeartbeat("i-1", HeartbeatJson);
   CHECK_TRUE(Heartbeat->Draining);
   LONGS_EQUAL(4000, Heartbeat->Remaining.count());
+  LONGS_EQUAL(2500, Heartbeat->ColdRemaining.count());
   LONGS_EQUAL(8, Heartbeat->Accelerators);
   STRCMP_EQUAL("r1-3", Heartbeat->Rack.str().c_str());
   CHECK(Heartbeat->StartedAtMs == 1790292317714);
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -565,3 +565,15 @@
   CHECK_TRUE(Worker.StartDeadline > Milliseconds(1000));
   CHECK_TRUE(Worker.StartDeadline < Milliseconds(3000));
 }
+
+// Pattern: a worker that has become warm counts as cold until its next
+// heartbeat.
+TEST(TaskAgent, ReportsTheRestOfTheColdPeriod) {
+  WorkerHeartbeat Cold = heartbeat(7, 2);
+  Cold.ColdRemaining = Milliseconds(400);
+  Agent->onHeartbeat(Cold);
+  CHECK_TRUE(waitUntil([&] {
+    return last().cold_remaining_ms() > 0 && last().cold_remaining_ms() < 300;
+  }));
+  CHECK_TRUE(waitUntil([&] { return last().cold_remaining_ms() == 0; }));
+}
--- a/tests/tasks/planning/TaskPlannerTest.cpp
+++ b/tests/tasks/planning/TaskPlannerTest.cpp
@@ -266,3 +266,22 @@
   Input.Units[0].Isolated = true;
   LONGS_EQUAL(3, planTasks(Input).Starts.size());
 }
+
+// Pattern: a task waits for a cold worker, or several start on one, while a
+// warm worker is free.
+TEST(TaskPlanner, UsesColdWorkersLastAndWithinTheirLimit) {
+  addWorker("cold", "r1");
+  Input.Workers[0].IsCold = true;
+  Input.Workers[0].StartsLeft = 1;
+  addWorker("warm", "r1");
+  Input.Workers[0].Free.Accelerators = 4;
+  addUnit("a", 1, 4, 1);
+  addUnit("b", 1, 4, 2);
+  addUnit("c", 1, 2, 3);
+  addUnit("d", 1, 2, 4);
+  const TaskPlan Plan = planTasks(Input);
+  LONGS_EQUAL(3, Plan.Starts.size());
+  LONGS_EQUAL(1, Plan.Starts[0].Worker);
+  LONGS_EQUAL(1, Plan.Starts[1].Worker);
+  LONGS_EQUAL(0, Plan.Starts[2].Worker);
+}
