Evacuate data centres by command at the product's own entries

Cause: the product could only drain its workers one by one.

Change: PUT, DELETE and GET /v1/data-centres/NAME/evacuation, GET /v1/data-centres and baobabctl data-centre evacuate, restore and list.

--- a/src/cli/CtlCommand.cpp
+++ b/src/cli/CtlCommand.cpp
@@ -57,6 +57,11 @@
       {"worker drain", "NODE", "stop placing gangs on a worker", 1, &C::drain},
       {"worker undrain", "NODE", "resume placing gangs on a worker", 1,
        &C::undrain},
+      {"data-centre list", "", "list data centres", 0, &C::listDataCentres},
+      {"data-centre evacuate", "NAME", "start nothing more in a data centre", 1,
+       &C::evacuate},
+      {"data-centre restore", "NAME", "end the evacuation of a data centre", 1,
+       &C::restore},
       {"state", "", "dump the state of the process at --entry", 0, &C::state},
       {"digest", "TOKEN", "print the SHA-256 of a token", 1, &C::digest},
   };
@@ -310,6 +315,21 @@
   return setDraining(Arguments[0], "DELETE");
 }
 
+CtlExit CtlCommand::listDataCentres(const Words &) {
+  return printList(call("GET", "/v1/data-centres"), "data_centres",
+                   {"data_centre", "evacuated", "revision"});
+}
+
+CtlExit CtlCommand::evacuate(const Words &Arguments) {
+  return printObject(
+      call("PUT", "/v1/data-centres/" + Arguments[0] + "/evacuation"));
+}
+
+CtlExit CtlCommand::restore(const Words &Arguments) {
+  return printObject(
+      call("DELETE", "/v1/data-centres/" + Arguments[0] + "/evacuation"));
+}
+
 CtlExit CtlCommand::state(const Words &) {
   return printObject(call("GET", "/v1/state"));
 }
--- a/src/cli/CtlCommand.h
+++ b/src/cli/CtlCommand.h
@@ -82,6 +82,9 @@
   CtlExit listWorkers(const Words &Arguments);
   CtlExit drain(const Words &Arguments);
   CtlExit undrain(const Words &Arguments);
+  CtlExit evacuate(const Words &Arguments);
+  CtlExit restore(const Words &Arguments);
+  CtlExit listDataCentres(const Words &Arguments);
   CtlExit state(const Words &Arguments);
   CtlExit digest(const Words &Arguments);
 
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -57,12 +57,15 @@
       Incarnation(static_cast<std::uint64_t>(wallClockMs())),
       StoreClient(makeHttpStore(Options.StoreAddress)),
       WatchStoreClient(makeHttpStore(Options.StoreAddress)),
+      EvacuationStoreClient(makeHttpStore(Options.StoreAddress)),
+      Evacuated(*EvacuationStoreClient, Options.Cell),
       Claims(*StoreClient, std::chrono::seconds(Options.ClaimTtlS)),
       RequestRouter(this->Options, Membership, Peers, Claims, Stats),
       JobRecords(*StoreClient, Options.Cell),
       Context{this->Options, Incarnation,  Stats,      *StoreClient, Peers,
               Membership,    ActiveConfig, JobRecords, RequestRouter},
-      Requests(Context), Jobs(Context), Configurations(Context) {}
+      Requests(Context), Jobs(Context), Configurations(Context),
+      Evacuations(Context, Evacuated) {}
 
 EntryProcess::~EntryProcess() {
   Stopping = true;
@@ -94,10 +97,13 @@
     return tl::unexpected<Error>(Server.error());
   Rpc = std::move(*Server);
   ConfigurationWatchThread = std::thread([this] { watchConfiguration(); });
-  // Wait for the configuration, which holds the callers' tokens; serve without
-  // it after the timeout if the store is unavailable.
+  Evacuated.start();
+  // Wait for the configuration, which holds the callers' tokens, and for the
+  // evacuations, which hold before this entry can coordinate; serve without
+  // them after the timeout if the store is unavailable.
   const Instant Deadline = monotonicNow() + ConfigurationTimeout;
-  while (!ConfigurationRead && monotonicNow() < Deadline)
+  while ((!ConfigurationRead || !Evacuated.isRead()) &&
+         monotonicNow() < Deadline)
     std::this_thread::sleep_for(ConfigurationPollPeriod);
   auto Served = serveHttp(
       Options.HttpAddress, limitsOf(Options),
@@ -239,11 +245,13 @@
 
 wire::HeartbeatReply EntryProcess::heartbeat(const wire::Heartbeat &Message) {
   const Instant Now = monotonicNow();
+  // Also in the member table, from which a new coordinator takes its workers.
+  const wire::Heartbeat Effective = Evacuated.withEvacuations(Message);
   if (Message.leaving())
     Membership.remove(NodeId(Message.node()));
   else
-    Membership.update(Message, Now);
-  CellCoordinator->heartbeatReceived(Message);
+    Membership.update(Effective, Now);
+  CellCoordinator->heartbeatReceived(Effective);
   wire::HeartbeatReply Reply;
   Reply.set_configuration_version(ActiveConfig.version().value());
   if (Message.configuration_version() < ActiveConfig.version().value())
@@ -282,6 +290,10 @@
       {"GET", "/v1/configuration", &E::showConfiguration},
       {"POST", "/v1/configuration", &E::applyConfiguration},
       {"GET", "/v1/workspaces", &E::listWorkspaces},
+      {"GET", "/v1/data-centres", &E::listDataCentres},
+      {"PUT", "/v1/data-centres/*/evacuation", &E::evacuate},
+      {"DELETE", "/v1/data-centres/*/evacuation", &E::restore},
+      {"GET", "/v1/data-centres/*/evacuation", &E::showEvacuation},
   };
   return Table;
 }
@@ -337,6 +349,10 @@
   Out->set("following_store", JobRecords.watching());
   Out->set("requests_waiting", RequestRouter.pool().waiting());
   Out->set("members", Membership.all().size());
+  Poco::JSON::Array::Ptr EvacuatedNames = new Poco::JSON::Array;
+  for (const auto &[Name, Revision] : Evacuated.active())
+    EvacuatedNames->add(Name.str());
+  Out->set("evacuated_data_centres", EvacuatedNames);
   Out->set("coordinator", CellCoordinator->dump());
   Out->set("figures", Stats.dump());
   Out->set("process", processStats());
@@ -452,6 +468,26 @@
   return Configurations.apply(Request);
 }
 
+HttpResponse EntryProcess::evacuate(const HttpRequest &Request,
+                                    const std::string &Name) {
+  return Evacuations.evacuate(Request, Name);
+}
+
+HttpResponse EntryProcess::restore(const HttpRequest &Request,
+                                   const std::string &Name) {
+  return Evacuations.restore(Request, Name);
+}
+
+HttpResponse EntryProcess::showEvacuation(const HttpRequest &Request,
+                                          const std::string &Name) {
+  return Evacuations.show(Request, Name);
+}
+
+HttpResponse EntryProcess::listDataCentres(const HttpRequest &Request,
+                                           const std::string &) {
+  return Evacuations.list(Request);
+}
+
 HttpResponse EntryProcess::listWorkspaces(const HttpRequest &Request,
                                           const std::string &) {
   return Configurations.workspaces(Request);
--- a/src/entry/EntryProcess.h
+++ b/src/entry/EntryProcess.h
@@ -6,6 +6,8 @@
 #include "coordinator/CoordinatorElection.h"
 #include "entry/ConfigurationApi.h"
 #include "entry/EntryContext.h"
+#include "entry/EvacuationApi.h"
+#include "entry/EvacuationFollower.h"
 #include "entry/JobApi.h"
 #include "entry/RequestApi.h"
 #include "membership/HeartbeatSender.h"
@@ -70,6 +72,11 @@
                                  const std::string &);
   HttpResponse applyConfiguration(const HttpRequest &Request,
                                   const std::string &);
+  HttpResponse evacuate(const HttpRequest &Request, const std::string &Name);
+  HttpResponse restore(const HttpRequest &Request, const std::string &Name);
+  HttpResponse showEvacuation(const HttpRequest &Request,
+                              const std::string &Name);
+  HttpResponse listDataCentres(const HttpRequest &Request, const std::string &);
   HttpResponse listWorkspaces(const HttpRequest &Request, const std::string &);
 
   wire::Heartbeat buildHeartbeat() const;
@@ -87,6 +94,8 @@
   Metrics Stats;
   std::unique_ptr<Store> StoreClient;
   std::unique_ptr<Store> WatchStoreClient;
+  std::unique_ptr<Store> EvacuationStoreClient;
+  EvacuationFollower Evacuated;
   ActiveConfiguration ActiveConfig;
   RpcPeers Peers;
   MemberTable Membership;
@@ -97,6 +106,7 @@
   RequestApi Requests;
   JobApi Jobs;
   ConfigurationApi Configurations;
+  EvacuationApi Evacuations;
   std::unique_ptr<Coordinator> CellCoordinator;
   std::unique_ptr<CoordinatorElection> Role;
   std::unique_ptr<RpcServer> Rpc;
--- a/tests/support/Deployment.cpp
+++ b/tests/support/Deployment.cpp
@@ -128,7 +128,8 @@
                             int I, const std::string &Target, Process &Agent) {
   // Each rack has three minions and three workers.
   std::string Settings =
-      "node: " + Name + "\nplace: a\ndata_centre: a-1\n" + "rack: r" +
+      "node: " + Name + "\nplace: a\ndata_centre: a-" +
+      std::to_string(1 + I % Options.DataCentres) + "\nrack: r" +
       std::to_string(I / 3) + "\nentry_addresses: " + entryAddressList() +
       "\nstore_address: " + StoreAddress + "\ntarget_kind: " + Kind +
       "\ntarget_address: " + Target + "\nservice: " + Service + "\n" +
--- a/tests/support/Deployment.h
+++ b/tests/support/Deployment.h
@@ -21,6 +21,8 @@
   int Entries = 2;
   int Minions = 0;
   int Workers = 0;
+  /// The agents are spread over the data centres a-1, a-2 and so on.
+  int DataCentres = 1;
   /// Puts a proxy in front of the RPC address of each minion's agent.
   bool ProxyMinionAgents = false;
   /// Puts a proxy in front of the RPC address of each worker's agent.
