Keep restored runs of an evacuated data centre that a report lists

Cause: a report that arrives between the application of reports and the plan of a round is planned with but not applied. After a takeover the runs in an evacuated data centre looked as if they had not started and were stopped.

Change: a start is withdrawn only if the report that is planned with does not list the run.

Result: JobTrackerEvacuation/KeepsRestoredRunsThatAReportLists fails without the change and passes with it.

--- a/src/tasks/coordination/JobTrackerEvacuation.cpp
+++ b/src/tasks/coordination/JobTrackerEvacuation.cpp
@@ -63,13 +63,18 @@
   for (const wire::TaskReport &Report : Reports) {
     if (!Starts.isEvacuated(DataCentreName(Report.data_centre())))
       continue;
+    // The report may be newer than the last one that was applied.
+    std::set<std::pair<std::string, std::uint64_t>> Running;
+    for (const wire::RunStatus &Run : Report.running())
+      Running.insert({Run.task(), Run.run()});
     for (const TaskRef &At : placedOn(NodeId(Report.node()))) {
       const TaskState &Task = At.Job->task(At.Task);
       if (Task.Phase != wire::TASK_PLACED ||
           Task.Worker.str() != Report.worker())
         continue;
       ++RunsInEvacuated;
-      if (Task.Listed || Task.StopRequested)
+      if (Task.Listed || Task.StopRequested ||
+          Running.count({toText(At.Job->name(At.Task)), Task.Run}))
         continue;
       stopMembers(At);
       ++WithdrawnStarts;
--- a/tests/tasks/coordination/JobTrackerEvacuationTest.cpp
+++ b/tests/tasks/coordination/JobTrackerEvacuationTest.cpp
@@ -275,3 +275,24 @@
   plan(0);
   LONGS_EQUAL(1, starts(0) + starts(1));
 }
+
+// Pattern: a new coordinator plans with a report that it has not applied yet
+// and stops the runs of the evacuated data centre as if they had not started.
+TEST(JobTrackerEvacuation, KeepsRestoredRunsThatAReportLists) {
+  Tracker.addJob(jobOf("a", 1));
+  wire::TaskJobProgress Stored;
+  wire::TaskRecord &Task = *Stored.add_tasks();
+  Task.set_phase(wire::TASK_PLACED);
+  Task.set_run(3);
+  Task.set_worker("n0/w#1");
+  Tracker.restore(JobId("a"), Stored, 7);
+  wire::RunStatus &Status = *Reports[0].add_running();
+  Status.set_task("a.0.0.0");
+  Status.set_run(3);
+  evacuate({"z0"});
+  plan();
+  LONGS_EQUAL(0, Tracker.withdrawnStarts());
+  Reports[0].clear_running();
+  plan();
+  LONGS_EQUAL(1, Tracker.withdrawnStarts());
+}
