--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -199,6 +199,8 @@
   Report.set_rack(Worker->Rack.str());
   Report.set_draining(Worker->Draining);
   Report.set_remaining_ms(Worker->Remaining.count());
+  Report.set_cold_remaining_ms(
+      std::max(ColdUntil - Now, Milliseconds(0)).count());
   addRunning(Report);
   addEnds(Report, Ends);
   addRefusals(Report, RunOrders.refusals());
@@ -239,6 +241,8 @@
   // So may it have given up those of an answer that arrives after its grant.
   if (!Lease.grant(SentAt + Held + Milliseconds(NewOrders.grant_ms()), Now))
     return;
+  Limit.apply(NewOrders, SentAt);
+  queueHeldStarts();
   queueOrders();
   if (NewOrders.worker() != WorkerName.str() || WorkerName.str().empty() ||
       NewOrders.revision() <= Orders.revision())
@@ -426,6 +430,7 @@
   Dump->set("epoch", Term.value());
   Dump->set("running", Running.size());
   Dump->set("ends", Ends.size());
+  Dump->set("starts_held", Limit.held());
   return dumpText(Dump);
 }
 
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -53,6 +53,7 @@
   UnflushedCheckpoints.clear();
   Reservations.clear();
   GivenUp.clear();
+  Moves.clear();
 }
 
 void JobTracker::addJob(std::shared_ptr<const wire::TaskJobSpec> Spec) {
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -78,13 +78,19 @@
     Retry = Retry->second <= Now.Boot ? RetryNotBefore.erase(Retry)
                                       : std::next(Retry);
   Forecasts.clear();
+  withdrawFromEvacuated(Reports);
   PlanInput Input = makePlanInput(Reports, Config, Now);
-  if (Input.Units.empty())
-    return;
-  Input.Reservations = std::move(Reservations);
-  TaskPlan Plan = planTasks(Input);
-  Reservations = std::move(Plan.Reservations);
-  applyPlan(Plan, Input, Now);
+  applyStartRules(Reports, Now, Input);
+  TaskPlan Plan;
+  if (!Input.Units.empty()) {
+    Input.Reservations = std::move(Reservations);
+    prepareMoves(Now, Input);
+    Plan = planTasks(Input);
+    Reservations = Plan.Reservations;
+    applyPlan(Plan, Input, Now);
+  } else
+    prepareMoves(Now, Input);
+  moveEvacuatedRuns(Reports, Input, Plan, Config, Now);
 }
 
 PlanInput
@@ -105,6 +111,7 @@
     Worker.Free = Worker.Capacity;
     Worker.Speed = RunTimes.placementSpeed(NodeId(Report.node()));
     addUnplacedRuns(Report, Worker);
+    Cold.describe(Report, Config, Now.Boot, Worker);
     Worker.AcceptsTasks =
         !Report.draining() &&
         !Quarantine.isQuarantined(NodeId(Report.node()), Now.Boot);
@@ -332,7 +339,8 @@
     Unit.KeepFullyFree = static_cast<std::size_t>(
         std::lround(FullyFreeShareForUrgent * double(ReachableWorkers)));
   Unit.MayRunRemote =
-      double(WaitedMs) > RemoteWaitFactor * double(Duration.count());
+      double(WaitedMs) > RemoteWaitFactor * double(Duration.count()) ||
+      isRackEvacuated(RackName(Unit.Step->data_rack()));
   return Unit;
 }
 
@@ -422,6 +430,8 @@
     Task.Phase = wire::TASK_PLACED;
     IsPlacedIndexStale = true;
     Task.Worker = Input.Workers[Start.Worker].Incarnation;
+    if (Input.Workers[Start.Worker].IsCold)
+      Cold.noteStart(Task.Worker, Now.Boot);
     Task.PlacedAt = Now.Boot;
     Task.OrderedByAgent = Input.Workers[Start.Worker].AgentIncarnation;
     Task.Listed = false;
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -66,7 +66,7 @@
                                  CoordinatorSettings Settings,
                                  ConfigSource Config, Metrics &Stats)
     : Kv(Kv), Settings(Settings), Config(std::move(Config)), Stats(Stats),
-      Tracker(Settings.RunTimes), Writer(Kv),
+      Tracker(Settings.RunTimes, Settings.Cold), Writer(Kv),
       Tombstones(Kv, Settings.StatusRetention + RemovalMargin) {}
 
 TaskCoordinator::~TaskCoordinator() { stop(); }
@@ -326,8 +326,8 @@
   const ClockReading Time{Now, wallClockMs()};
   Tracker.finishJobs(Time);
   Tracker.moveStalledRuns(Time);
-  const auto Rules = Config();
-  if (!Rules)
+  const OperatorSnapshot Orders = Config();
+  if (!Orders.Config)
     return;
   std::vector<wire::TaskReport> Reachable;
   {
@@ -338,8 +338,19 @@
       if (Session.Report.complete() && Now - Session.CalledAt < ReportTimeout)
         Reachable.push_back(Session.Report);
   }
-  Tracker.plan(Reachable, *Rules, Time);
+  Tracker.setStartRules({Orders.Evacuated, Settings.EvacuationBound});
+  Tracker.plan(Reachable, *Orders.Config, Time);
   Tracker.flushCheckpoints(Time);
+  recordEvacuations(Orders.Evacuated);
+}
+
+void TaskCoordinator::recordEvacuations(const Evacuations &Known) {
+  Stats.set("evacuated_data_centres", Known.Active.size());
+  Stats.set("evacuation_runs_left", Tracker.runsInEvacuated());
+  Stats.set("evacuation_runs_moved", Tracker.movedRuns());
+  Stats.set("evacuation_starts_withdrawn", Tracker.withdrawnStarts());
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  RunsInEvacuated = Tracker.runsInEvacuated();
 }
 
 bool TaskCoordinator::persist(const CoordinatorTerm &Term) {
@@ -380,6 +391,13 @@
   Dump->set("agents", Sessions.size());
   if (RunTimesDump)
     Dump->set("run_times", RunTimesDump);
+  const Evacuations Known = Config().Evacuated;
+  Dump->set("evacuated", namesOf(Known));
+  Dump->set("evacuations_age_ms",
+            Known.ConfirmedAt == BootInstant{}
+                ? -1
+                : (BootClock::now() - Known.ConfirmedAt).count());
+  Dump->set("evacuation_runs_left", RunsInEvacuated);
   return dumpText(Dump);
 }
 
--- a/src/tasks/planning/FreeCapacity.cpp
+++ b/src/tasks/planning/FreeCapacity.cpp
@@ -9,7 +9,9 @@
   const auto Share = [](std::int64_t Left, std::int64_t Of) {
     return Of > 0 ? double(Left) / double(Of) : 0.0;
   };
-  return 2 * Share(Available.Accelerators - Need.Accelerators,
+  constexpr double AboveAnyWarmWorker = 100;
+  return (Worker.IsCold ? AboveAnyWarmWorker : 0) +
+         2 * Share(Available.Accelerators - Need.Accelerators,
                    Capacity.Accelerators) +
          Share(Available.MemoryMb - Need.MemoryMb, Capacity.MemoryMb) +
          Share(Available.MilliCores - Need.MilliCores, Capacity.MilliCores);
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -144,6 +144,8 @@
         const std::size_t W = IsSingle ? Choice : Selected[Choice];
         if (IsSingle ? !MayUse(W) : !Available[W].covers(Need))
           continue;
+        if (In.Workers[W].IsCold && Taken[W] >= In.Workers[W].StartsLeft)
+          continue;
         if (Limit && countOn(Unit, W) + Taken[W] >= Limit)
           continue;
         if (KeepsSomeFree && isFullyFree(In.Workers[W], Available[W]) &&
@@ -263,6 +265,7 @@
     for (std::size_t W : Placement) {
       PlanWorker &Worker = In.Workers[W];
       ++Worker.Runs;
+      Worker.StartsLeft -= Worker.StartsLeft > 0 ? 1 : 0;
       Worker.HasRunOnProbation = true;
       Worker.HasSuspect = Worker.HasSuspect || Unit.Isolated;
     }
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -49,3 +49,10 @@
   LONGS_EQUAL(700, parsePlatformSettings(Valid + "bounds.restore_ms=700\n")
                        ->Restore.count());
 }
+
+// Pattern: starts are limited in time on a deployment that asks for no bound.
+TEST(PlatformSettings, ReadsTheBoundOfEvacuations) {
+  LONGS_EQUAL(0, parsePlatformSettings(Valid)->EvacuationBound.count());
+  LONGS_EQUAL(5000, parsePlatformSettings(Valid + "bounds.evacuate_ms=5000\n")
+                        ->EvacuationBound.count());
+}
--- a/tests/tasks/coordination/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -646,7 +646,9 @@
   Spec->mutable_steps(0)->set_memory_mb(10);
   Tracker.addJob(Spec);
   wire::TaskReport Report = reportOf("n1");
-  Tracker.plan({Report}, Config, Now);
+  // A round plans a part of a step.
+  for (int Round = 0; Round < 5; ++Round)
+    Tracker.plan({Report}, Config, Now);
   std::set<std::string> Ordered;
   for (std::uint64_t Revision = 1; Ordered.size() < 1200; ++Revision) {
     const wire::TaskOrders Orders = Tracker.ordersFor(Report, Revision);
