Collect HTTP requests without a thread, within a memory budget

Cause: POCO's server gave a thread to each connection and read bodies and headers of any number before a limit applied, so that half-open connections held all threads (4 at the readiness and control addresses, 256 for clients) and bodies that stop short of their end held memory without bound.

Change: all threads wait for events of all connections (epoll, one-shot); the one that gets an event reads without blocking and handles the request itself when it is complete. Limits on connections in total and by peer, header fields and bytes, bodies (413 from Content-Length, chunks cut at the limit), time for headers, rate of bodies, time to read responses, pipelining and discarded bytes. A budget per process (base/MemoryBudget, an eighth of limits.memory_mb or process_memory_mb) is reserved before bytes are read and for the parsing of JSON; when it is used up, the slowest incomplete request is closed. New codes 1006 RequestTimeout (408) and 1211 PeerLimit (429). Counters by cause and a log line naming the busiest address.

--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -23,9 +23,19 @@
   HttpLimits Limits;
   Limits.Threads = AdminThreads;
   Limits.Connections = AdminConnections;
+  Limits.ConnectionsPerPeer = AdminConnections;
   return Limits;
 }
 
+HttpResources adminResources(const Settings &Options, Metrics &Stats) {
+  HttpResources Resources;
+  Resources.Name = "admin";
+  Resources.Budget = makeMemoryBudget(Options.ProcessMemoryMb);
+  Resources.Share = MemoryShare::System;
+  Resources.Stats = &Stats;
+  return Resources;
+}
+
 wire::CommandReply noWorkerReply() {
   wire::CommandReply Reply;
   Reply.set_code(static_cast<std::uint32_t>(ResultCode::UnknownGang));
@@ -86,9 +96,10 @@
   if (!Served)
     return tl::unexpected<Error>(Served.error());
   Rpc = std::move(*Served);
-  auto AdminServer =
-      serveHttp(Options.HttpAddress, adminLimits(),
-                [this](const HttpRequest &Request) { return onHttp(Request); });
+  auto AdminServer = serveHttp(
+      Options.HttpAddress, adminLimits(),
+      [this](const HttpRequest &Request) { return onHttp(Request); },
+      adminResources(Options, Stats));
   if (!AdminServer)
     return tl::unexpected<Error>(AdminServer.error());
   Http = std::move(*AdminServer);
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -46,6 +46,7 @@
   std::uint32_t GangLeaseMs = 5000;
   std::uint32_t HttpThreads = 256;
   std::uint32_t MaxConnections = 1024;
+  std::uint32_t ProcessMemoryMb = 160;
   std::uint32_t HeaderTimeoutMs = 5000;
   std::uint32_t LameDuckMs = 1500;
   std::uint32_t MaxOutcomes = 8192;
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -24,10 +24,23 @@
   HttpLimits Limits;
   Limits.Threads = Options.HttpThreads;
   Limits.Connections = Options.MaxConnections;
+  Limits.ConnectionsPerPeer = Limits.Connections * 3 / 4;
   Limits.ReceiveTimeout = Milliseconds(Options.HeaderTimeoutMs);
   return Limits;
 }
 
+/// Resources of the HTTP interface, which serves callers, probes and operators
+/// at one address.
+HttpResources resourcesOf(const Settings &Options, Metrics &Stats) {
+  HttpResources Resources;
+  Resources.Budget = makeMemoryBudget(Options.ProcessMemoryMb);
+  Resources.Stats = &Stats;
+  Resources.IsSystemRequest = [](const HttpRequest &Request) {
+    return Request.Path == "/healthz" || Request.Path == "/v1/state";
+  };
+  return Resources;
+}
+
 HttpResponse jsonResponse(const Poco::JSON::Object::Ptr &Body) {
   HttpResponse Response;
   Response.Body = dumpText(Body);
@@ -101,7 +114,8 @@
     std::this_thread::sleep_for(ConfigurationPollPeriod);
   auto Served = serveHttp(
       Options.HttpAddress, limitsOf(Options),
-      [this](const HttpRequest &Request) { return handleHttp(Request); });
+      [this](const HttpRequest &Request) { return handleHttp(Request); },
+      resourcesOf(Options, Stats));
   if (!Served)
     return tl::unexpected<Error>(Served.error());
   Http = std::move(*Served);
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -1,57 +1,38 @@
 #ifndef BAOBABCOVE_HTTP_HTTPSERVER_H
 #define BAOBABCOVE_HTTP_HTTPSERVER_H
 
-#include "baobabcove/Clock.h"
-#include "baobabcove/ResultCode.h"
+#include "base/MemoryBudget.h"
+#include "base/Metrics.h"
+#include "http/HttpLimits.h"
+#include "http/HttpMessage.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace baobabcove {
 
-/// A completely received request.
-struct HttpRequest {
-  std::string Method;
-  std::string Path;
-  std::map<std::string, std::string> Query;
-  /// Header names in lower case.
-  std::map<std::string, std::string> Headers;
-  std::string Body;
-
-  /// Returns the value of the header \p Name (in lower case), or an empty
-  /// string.
-  std::string header(const std::string &Name) const;
-  /// Returns the value of a query parameter, or an empty string.
-  std::string query(const std::string &Name) const;
-};
-
-struct HttpResponse {
-  int Status = 200;
-  std::string Body;
-  std::string ContentType = "application/json";
-  std::map<std::string, std::string> Headers;
-};
-
-/// Resource limits of a server.
-struct HttpLimits {
-  std::size_t Threads = 64;
-  std::size_t Connections = 1024;
-  std::size_t BodyBytes = 1 << 20;
-  /// Maximum time to receive a request's header and body.
-  Milliseconds ReceiveTimeout{5000};
-  /// Idle connections are closed after this time.
-  Milliseconds IdleTimeout{3000};
-};
-
 /// Handles a request. Called concurrently from several threads.
 using HttpHandler = std::function<HttpResponse(const HttpRequest &)>;
 
-/// A listening HTTP server over POCO's server classes. Connections that exceed
-/// the receive timeout are shut down, so that slow clients do not hold threads.
-/// Malformed requests are answered without calling the handler.
+/// What the servers of a process share, and how a server counts towards it.
+struct HttpResources {
+  /// Prefix of the counters and the "server" field of log lines.
+  std::string Name = "http";
+  /// Memory for all messages; null for a budget of this server alone.
+  std::shared_ptr<MemoryBudget> Budget;
+  MemoryShare Share = MemoryShare::Clients;
+  /// Counts refusals by cause; may be null. Must outlive the server.
+  Metrics *Stats = nullptr;
+  /// Whether a request may use the threads that are reserved for probes and
+  /// operators; null if no request may.
+  std::function<bool(const HttpRequest &)> IsSystemRequest;
+};
+
+/// A listening HTTP server. Requests are collected without holding a thread;
+/// a thread is used only while a complete request is handled. Clients that
+/// exceed a limit are refused or disconnected. docs/design/untrusted-clients.md
+/// describes the limits.
 class HttpServer {
 public:
   virtual ~HttpServer() = default;
@@ -59,6 +40,9 @@
   /// Returns the listening address with the bound port.
   virtual std::string address() const = 0;
 
+  /// Replaces the limits, except for the number of threads.
+  virtual void applyLimits(const HttpLimits &Limits) = 0;
+
   /// Adds "Connection: close" to every response from now on.
   virtual void closeAfterResponses() = 0;
 
@@ -71,14 +55,8 @@
 /// with SettingsInvalid when the address cannot be bound.
 Expected<std::unique_ptr<HttpServer>> serveHttp(const std::string &Address,
                                                 const HttpLimits &Limits,
-                                                HttpHandler Handler);
-
-/// Returns the JSON error response for \p Code, with its name, outcome and next
-/// step.
-HttpResponse errorResponse(ResultCode Code, const std::string &Detail);
-
-/// Returns the JSON error response for \p Err.
-HttpResponse errorResponse(const Error &Err);
+                                                HttpHandler Handler,
+                                                HttpResources Resources = {});
 
 } // namespace baobabcove
 
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,6 +1,8 @@
 #include "http/HttpServer.h"
+#include "WaitUntil.h"
 #include "base/HttpClient.h"
 
+#include <atomic>
 #include <thread>
 
 #include <Poco/Net/NetException.h>
@@ -71,6 +73,124 @@
   STRCMP_EQUAL("got late", send("late")->Body.c_str());
 }
 
+// Guards against incomplete requests that hold all threads until they time out.
+TEST(HttpServer, ServesWhileConnectionsAreHalfOpen) {
+  HttpLimits Limits;
+  Limits.Threads = 2;
+  Limits.ReceiveTimeout = Milliseconds(60000);
+  auto Patient = serveHttp("127.0.0.1:0", Limits,
+                           [](const HttpRequest &) { return HttpResponse(); });
+  std::vector<Poco::Net::StreamSocket> HalfOpen;
+  const std::string Begin = "POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\n1234";
+  for (std::size_t I = 0; I < 300; ++I) {
+    HalfOpen.emplace_back(Poco::Net::SocketAddress((*Patient)->address()));
+    HalfOpen.back().sendBytes(Begin.data(), int(I % Begin.size()));
+  }
+  HttpClient Client((*Patient)->address());
+  HttpCall Call;
+  Call.Path = "/x";
+  LONGS_EQUAL(200, Client.call(Call)->Status);
+}
+
+// Guards against a client that keeps all others out by opening connections.
+TEST(HttpServer, ClosesTheSlowestConnectionForANewOne) {
+  HttpLimits Limits;
+  Limits.Threads = 2;
+  Limits.Connections = 20;
+  Limits.ConnectionsPerPeer = 20;
+  Limits.ReceiveTimeout = Milliseconds(60000);
+  auto Small = serveHttp("127.0.0.1:0", Limits,
+                         [](const HttpRequest &) { return HttpResponse(); });
+  std::vector<Poco::Net::StreamSocket> HalfOpen;
+  for (int I = 0; I < 20; ++I) {
+    HalfOpen.emplace_back(Poco::Net::SocketAddress((*Small)->address()));
+    HalfOpen.back().sendBytes("GET", 3);
+  }
+  HttpCall Call;
+  Call.Path = "/x";
+  // A connection is kept for a short time in any case.
+  CHECK_TRUE(waitUntil([&] {
+    HttpClient Client((*Small)->address());
+    const auto Response = Client.call(Call);
+    return Response && Response->Status == 200;
+  }));
+}
+
+// Guards against bodies that stop just short of their end and hold memory for
+// which others are refused.
+TEST(HttpServer, TakesMemoryFromIncompleteBodiesForNewRequests) {
+  HttpLimits Limits;
+  Limits.Threads = 2;
+  Limits.ReceiveTimeout = Milliseconds(60000);
+  HttpResources Resources;
+  Resources.Budget = std::make_shared<MemoryBudget>(2 << 20, 0);
+  auto Small = serveHttp(
+      "127.0.0.1:0", Limits, [](const HttpRequest &) { return HttpResponse(); },
+      Resources);
+  std::vector<Poco::Net::StreamSocket> Incomplete;
+  for (int I = 0; I < 30; ++I) {
+    Incomplete.emplace_back(Poco::Net::SocketAddress((*Small)->address()));
+    const std::string Text =
+        "POST /x HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" +
+        std::string(99999, 'x');
+    Incomplete.back().setSendTimeout(Poco::Timespan(1, 0));
+    try {
+      Incomplete.back().sendBytes(Text.data(), int(Text.size()));
+    } catch (const Poco::Exception &) {
+      // The server has refused the body.
+    }
+  }
+  HttpCall Call;
+  Call.Path = "/x";
+  Call.Body = std::string(50000, 'y');
+  CHECK_TRUE(waitUntil([&] {
+    HttpClient Client((*Small)->address());
+    const auto Response = Client.call(Call);
+    return Response && Response->Status == 200;
+  }));
+  CHECK(Resources.Budget->peak() <= (2 << 20));
+}
+
+// Guards against responses to pipelined requests that are kept in memory for a
+// client that does not read.
+TEST(HttpServer, HandlesNoMoreRequestsOfAClientThatDoesNotRead) {
+  std::atomic<int> Handled{0};
+  auto Counting =
+      serveHttp("127.0.0.1:0", HttpLimits(), [&](const HttpRequest &) {
+        ++Handled;
+        HttpResponse Response;
+        Response.Body = std::string(20000, 'x');
+        return Response;
+      });
+  Poco::Net::StreamSocket Client(
+      Poco::Net::SocketAddress((*Counting)->address()));
+  Client.setReceiveBufferSize(16384);
+  std::string Requests;
+  for (int I = 0; I < 400; ++I)
+    Requests += "GET /" + std::to_string(I) + " HTTP/1.1\r\n\r\n";
+  Client.sendBytes(Requests.data(), int(Requests.size()));
+  CHECK_TRUE(waitUntil([&] { return Handled > 0; }));
+  std::this_thread::sleep_for(Milliseconds(300));
+  CHECK(Handled < 100);
+  // The rest is answered once the client reads.
+  std::string Block(65536, 0);
+  CHECK_TRUE(waitUntil([&] {
+    (void)Client.receiveBytes(Block.data(), int(Block.size()));
+    return Handled == 400;
+  }));
+}
+
+// Guards against limits that need a restart, and against changes that are lost.
+TEST(HttpServer, AppliesChangedLimits) {
+  HttpLimits Limits;
+  Limits.BodyBytes = 10;
+  Server->applyLimits(Limits);
+  LONGS_EQUAL(413, send("more than ten")->Status);
+  Limits.BodyBytes = 100;
+  Server->applyLimits(Limits);
+  LONGS_EQUAL(200, send("more than ten")->Status);
+}
+
 TEST(HttpServer, ClosesConnectionsAfterTheNextResponse) {
   Server->closeAfterResponses();
   STRCMP_EQUAL("got x", send("x")->Body.c_str());
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -23,6 +23,13 @@
   LONGS_EQUAL(4000, Parsed->KeyRevocationBound.count());
   LONGS_EQUAL(6000, Parsed->StopGracePeriod.count());
   LONGS_EQUAL(120000, Parsed->StatusRetention.count());
+  LONGS_EQUAL(128, Parsed->MemoryMb);
+}
+
+// Guards against a memory budget that does not follow the machine.
+TEST(PlatformSettings, ReadsTheMemoryOfTheMachine) {
+  LONGS_EQUAL(
+      512, parsePlatformSettings(Valid + "limits.memory_mb=512\n")->MemoryMb);
 }
 
 TEST(PlatformSettings, RefusesMissingAndMalformedSettings) {
@@ -32,7 +39,8 @@
   for (const char *Line :
        {"port_range=0,5", "port_range=x", "port_range=70000,70001",
         "bounds.revoke_ms=soon", "bounds.grace_s=-1",
-        "bounds.remote_penalty=far", "limits.cpu_share=half"})
+        "bounds.remote_penalty=far", "limits.cpu_share=half",
+        "limits.memory_mb=0", "limits.memory_mb=-1", "limits.memory_mb=all"})
     CHECK(ResultCode::SettingsInvalid ==
           parsePlatformSettings(Valid + Line + "\n").error().Code);
 }
