--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "base/HttpClient.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <sstream>
 
@@ -8,7 +9,6 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 #include <google/protobuf/reflection.h>
 #include <google/protobuf/util/json_util.h>
 
@@ -19,6 +19,11 @@
 constexpr std::size_t MaxIdleSessions = 16;
 /// Shorter than the time for which servers keep an idle connection.
 constexpr Milliseconds KeepAliveTimeout{2000};
+constexpr int MaxResponseFields = 100;
+/// The body of a response must arrive within this multiple of the timeout of a
+/// read. Without it, a peer that sends a byte now and then holds a call for any
+/// time.
+constexpr int TotalTimeoutFactor = 4;
 
 Poco::Timespan timespan(Milliseconds Duration) {
   return Poco::Timespan(Poco::Timespan::TimeDiff(Duration.count()) * 1000);
@@ -36,6 +41,23 @@
          Body.size() != std::size_t(Header.getContentLength64());
 }
 
+/// Reads a body. Returns false when it exceeds \p MaxBytes or is not complete
+/// by \p Deadline.
+bool readBody(std::istream &In, std::size_t MaxBytes, Instant Deadline,
+              std::string &Body) {
+  std::array<char, 8192> Block;
+  while (monotonicNow() < Deadline) {
+    // One blocking read at most, so that the deadline is checked.
+    if (In.peek() == std::istream::traits_type::eof())
+      return true;
+    const std::streamsize Count = In.readsome(Block.data(), Block.size());
+    if (Body.size() + static_cast<std::size_t>(Count) > MaxBytes)
+      return false;
+    Body.append(Block.data(), static_cast<std::size_t>(Count));
+  }
+  return false;
+}
+
 /// Whether any 64-bit field has its largest value. On some architectures the
 /// JSON parser gives it this value instead of refusing a number that is out of
 /// range.
@@ -114,11 +136,17 @@
     Sent = true;
     Out << Call.Body << std::flush;
     Poco::Net::HTTPResponse Header;
+    Header.setFieldLimit(MaxResponseFields);
     std::istream &In = Connection->receiveResponse(Header);
     HttpClientResponse Response;
     Response.Status = Header.getStatus();
     Response.ContentType = Header.getContentType();
-    Poco::StreamCopier::copyToString(In, Response.Body);
+    if (!readBody(In, Call.MaxResponseBytes,
+                  monotonicNow() + TotalTimeoutFactor * Call.Timeout,
+                  Response.Body))
+      return failure(ResultCode::OutcomeUnknown,
+                     "The response of " + Address +
+                         " is too large or does not end.");
     if (isTruncated(Header, Response.Body))
       return failure(ResultCode::OutcomeUnknown,
                      "The response of " + Address + " is truncated.");
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -31,6 +31,8 @@
   std::map<std::string, std::string> Headers;
   /// Timeout of connecting, and of each read and write.
   Milliseconds Timeout{2000};
+  /// A larger response counts as lost.
+  std::size_t MaxResponseBytes = 16 << 20;
   /// Opens a new connection. Set for a call that must not be repeated, since
   /// the peer may just have closed an idle connection.
   bool NewConnection = false;
--- a/src/http/HttpEngine.cpp
+++ b/src/http/HttpEngine.cpp
@@ -292,7 +292,7 @@
 bool HttpEngine::evictForConnection(const std::string &Peer,
                                     const char *Cause) {
   // A connection is not closed before its client had time to send a request.
-  constexpr Milliseconds MinAge{250};
+  constexpr Milliseconds MinAge{100};
   // Several at once, since finding them looks at all connections.
   constexpr std::size_t AtOnce = 16;
   auto Candidates = Table.candidates(Peer, monotonicNow());
--- a/src/rpc/RpcServer.cpp
+++ b/src/rpc/RpcServer.cpp
@@ -14,6 +14,9 @@
 /// Threads that have answered a call wait for the next one up to this number;
 /// by default two do, and each further call starts a thread.
 constexpr int MaxIdleThreads = 512;
+/// Calls of one connection that are served at once: the most requests that a
+/// minion can run at once.
+constexpr int MaxStreams = 4096;
 
 class EntryService : public wire::Entry::Service {
 public:
@@ -106,6 +109,7 @@
     int Port = 0;
     Builder.AddListeningPort(Address, grpc::InsecureServerCredentials(), &Port);
     Builder.SetMaxReceiveMessageSize(MaxMessageBytes);
+    Builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, MaxStreams);
     Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepAliveMs);
     Builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepAliveMs);
--- a/src/tasks/QueueConfig.h
+++ b/src/tasks/QueueConfig.h
@@ -34,6 +34,14 @@
   std::int64_t GuaranteedAccelerators = 0;
 };
 
+/// Limits on the requests of clients.
+struct RequestLimits {
+  std::size_t HeaderBytes = 16384;
+  std::size_t BodyBytes = 262144;
+  Milliseconds HeaderTimeout{3000};
+  Milliseconds IdleTimeout{15000};
+};
+
 /// One version of the operators' configuration of queues and workspaces.
 struct QueueConfig {
   std::int64_t Version = 0;
@@ -41,6 +49,7 @@
   std::map<WorkspaceId, WorkspaceRule> Workspaces;
   /// Workspaces by API key.
   std::map<std::string, WorkspaceId> Keys;
+  RequestLimits Limits;
 };
 
 /// Returns the queue of \p Host with the longest prefix of \p Path, or null.
--- a/src/tasks/intake/ConfigFollower.cpp
+++ b/src/tasks/intake/ConfigFollower.cpp
@@ -45,7 +45,7 @@
                                            .add("why", Config.error().Detail));
       continue;
     }
-    const std::lock_guard<std::mutex> Lock(Mutex);
+    std::unique_lock<std::mutex> Lock(Mutex);
     if (Newest && Config->Version <= Newest->Version)
       continue;
     LOG4CPLUS_INFO(logOf("config"),
@@ -55,6 +55,10 @@
                        .add("queues", Config->Queues.size())
                        .add("keys", Config->Keys.size()));
     Newest = std::make_shared<QueueConfig>(std::move(*Config));
+    const std::shared_ptr<const QueueConfig> InForce = Newest;
+    Lock.unlock();
+    if (Changed)
+      Changed(*InForce);
   }
 }
 
--- a/src/tasks/intake/ConfigFollower.h
+++ b/src/tasks/intake/ConfigFollower.h
@@ -23,6 +23,12 @@
   ConfigFollower(TransactionalStore &Kv, std::string Prefix, std::string Key,
                  ConfigReader Read);
 
+  /// Calls \p Listener with each configuration that comes into force, one
+  /// after the other. Must be called before start().
+  void onChange(std::function<void(const QueueConfig &)> Listener) {
+    Changed = std::move(Listener);
+  }
+
   void start() { Follower.start(); }
   void stop() { Follower.stop(); }
 
@@ -41,6 +47,7 @@
 
   const std::string Key;
   const ConfigReader Read;
+  std::function<void(const QueueConfig &)> Changed;
   mutable std::mutex Mutex;
   std::shared_ptr<const QueueConfig> Newest;
   StoreFollower Follower;
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -164,7 +164,6 @@
       });
   Poco::Net::StreamSocket Client(
       Poco::Net::SocketAddress((*Counting)->address()));
-  Client.setReceiveBufferSize(16384);
   std::string Requests;
   for (int I = 0; I < 400; ++I)
     Requests += "GET /" + std::to_string(I) + " HTTP/1.1\r\n\r\n";
@@ -173,11 +172,12 @@
   std::this_thread::sleep_for(Milliseconds(300));
   CHECK(Handled < 100);
   // The rest is answered once the client reads.
+  Client.setReceiveTimeout(Poco::Timespan(20, 0));
   std::string Block(65536, 0);
-  CHECK_TRUE(waitUntil([&] {
-    (void)Client.receiveBytes(Block.data(), int(Block.size()));
-    return Handled == 400;
-  }));
+  while (Handled < 400 &&
+         Client.receiveBytes(Block.data(), int(Block.size())) > 0) {
+  }
+  LONGS_EQUAL(400, Handled.load());
 }
 
 // Guards against limits that need a restart, and against changes that are lost.
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -68,6 +68,31 @@
               Config->Workspaces.at(WorkspaceId("t")).GuaranteedAccelerators);
 }
 
+// Guards against limits on requests that are not read, and against unusable
+// values that would refuse every request.
+TEST(Codec, ReadsTheLimitsOnRequests) {
+  const auto Read = [](const std::string &Limits) {
+    return readConfig(R"({"version":1,"limits":)" + Limits + "}")->Limits;
+  };
+  const RequestLimits Set =
+      Read(R"({"max_header_bytes":4096,"max_body_bytes":9000,
+               "header_timeout_ms":700,"idle_timeout_ms":800})");
+  LONGS_EQUAL(4096, Set.HeaderBytes);
+  LONGS_EQUAL(9000, Set.BodyBytes);
+  LONGS_EQUAL(700, Set.HeaderTimeout.count());
+  LONGS_EQUAL(800, Set.IdleTimeout.count());
+  for (const char *Unusable :
+       {"{}", "7", R"({"max_body_bytes":"many","max_header_bytes":0,
+                       "header_timeout_ms":-1,"idle_timeout_ms":null})"}) {
+    LONGS_EQUAL(16384, Read(Unusable).HeaderBytes);
+    LONGS_EQUAL(262144, Read(Unusable).BodyBytes);
+    LONGS_EQUAL(3000, Read(Unusable).HeaderTimeout.count());
+    LONGS_EQUAL(15000, Read(Unusable).IdleTimeout.count());
+  }
+  LONGS_EQUAL(1024, Read(R"({"max_header_bytes":1})").HeaderBytes);
+  LONGS_EQUAL(4 << 20, Read(R"({"max_body_bytes":999999999})").BodyBytes);
+}
+
 TEST(Codec, SkipsMalformedQueuesAndWorkspaces) {
   const auto Config = readConfig(
       R"({"version":1,"routes":[7,{"host":1},{"host":"h","prefix":"/",
