Name the open fault of probes under pipelined requests

Cause: the readiness address served 1 of 25 probes in one run while 300 connections pipelined requests without reading; not traced.

--- a/tests/fault/UntrustedTaskClientTest.cpp
+++ b/tests/fault/UntrustedTaskClientTest.cpp
@@ -174,6 +174,32 @@
   attackAll(Entry, Front, "/queue/00000000000000ff", 262144, EntryMemoryMb,
             Submits);
   attackAll(Entry, Front, "/none", 262144, EntryMemoryMb, Submits);
+  CHECK(Accepted > 0);
+}
+
+// Guards against task entries that fail their probes, and get no more clients,
+// while the readiness address is attacked.
+TEST(UntrustedTaskClient, DoNotStopProbesOfATaskEntry) {
+  Store.put("op/config", configText(1, ""));
+  const TaskDaemon Entry("baobabcove-task-entry", EntryIp, EntryMemoryMb,
+                         Store.address());
+  const std::string Front = std::string(EntryIp) + ":8080";
+  const std::string Ready = std::string(EntryIp) + ":8081";
+  HttpClient Readiness(Ready);
+  HttpClient Clients(Front);
+  const auto IsReady = [&] {
+    return statusOf(Readiness, callOf("GET", "/-/readiness")) == 200;
+  };
+  int Number = 0;
+  int Accepted = 0;
+  const auto Submits = [&] {
+    const bool Taken = statusOf(Clients, jobCall(++Number)) == 200;
+    Accepted += Taken ? 1 : 0;
+    std::this_thread::sleep_for(Milliseconds(20));
+    return Taken && IsReady();
+  };
+  CHECK_TRUE(waitUntil(IsReady));
+  CHECK_TRUE(waitUntil(Submits));
   attackAll(Entry, Ready, "/-/readiness", 65536, EntryMemoryMb, Submits);
   CHECK(Accepted > 0);
 }
