--- a/src/tasks/QueueConfig.h
+++ b/src/tasks/QueueConfig.h
@@ -42,6 +42,14 @@
   double ColdStartsPerSecond = 0;
 };
 
+/// Limits on the requests of clients.
+struct RequestLimits {
+  std::size_t HeaderBytes = 16384;
+  std::size_t BodyBytes = 262144;
+  Milliseconds HeaderTimeout{3000};
+  Milliseconds IdleTimeout{15000};
+};
+
 /// One version of the operators' configuration of queues and workspaces.
 struct QueueConfig {
   std::int64_t Version = 0;
@@ -51,6 +59,7 @@
   std::map<ServiceName, ServiceRule> Services;
   /// Workspaces by API key.
   std::map<std::string, WorkspaceId> Keys;
+  RequestLimits Limits;
 };
 
 /// Returns the queue of \p Host with the longest prefix of \p Path, or null.
--- a/src/tasks/intake/ConfigFollower.cpp
+++ b/src/tasks/intake/ConfigFollower.cpp
@@ -23,8 +23,14 @@
     : Key(std::move(Key)), Read(std::move(Read)),
       EvacuationPrefix(std::move(EvacuationPrefix)),
       Follower(Kv, std::move(Prefix), WatchWait,
-               {[this](const StoreChanges &All) { replaceAll(All); },
-                [this](const StoreChanges &News) { apply(News); }}) {}
+               {[this](const StoreChanges &All) {
+                  replaceAll(All);
+                  notifyListener();
+                },
+                [this](const StoreChanges &News) {
+                  apply(News);
+                  notifyListener();
+                }}) {}
 
 std::shared_ptr<const QueueConfig> ConfigFollower::current() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
@@ -48,6 +54,14 @@
   return Snapshot;
 }
 
+void ConfigFollower::notifyListener() {
+  const std::shared_ptr<const QueueConfig> InForce = current();
+  if (!Changed || !InForce || InForce == Notified)
+    return;
+  Notified = InForce;
+  Changed(*InForce);
+}
+
 DataCentreName
 ConfigFollower::evacuatedBy(const std::string &EvacuationKey) const {
   if (EvacuationPrefix.empty() || EvacuationKey.rfind(EvacuationPrefix, 0) != 0)
--- a/src/tasks/intake/ConfigFollower.h
+++ b/src/tasks/intake/ConfigFollower.h
@@ -26,6 +26,12 @@
   ConfigFollower(TransactionalStore &Kv, std::string Prefix, std::string Key,
                  ConfigReader Read, std::string EvacuationPrefix = "");
 
+  /// Calls \p Listener with each configuration that comes into force, one
+  /// after the other. Must be called before start().
+  void onChange(std::function<void(const QueueConfig &)> Listener) {
+    Changed = std::move(Listener);
+  }
+
   void start() { Follower.start(); }
   void stop() { Follower.stop(); }
 
@@ -44,6 +50,9 @@
 
 private:
   /// Applies a listing of all keys.
+  /// Calls the listener if another configuration has come into force. Used by
+  /// the follower's thread only.
+  void notifyListener();
   void replaceAll(const StoreChanges &All);
   void apply(const StoreChanges &Changes);
   // The mutex must be locked.
@@ -56,6 +65,9 @@
   const std::string Key;
   const ConfigReader Read;
   const std::string EvacuationPrefix;
+  std::function<void(const QueueConfig &)> Changed;
+  /// The configuration that the listener was called with last.
+  std::shared_ptr<const QueueConfig> Notified;
   mutable std::mutex Mutex;
   std::shared_ptr<const QueueConfig> Newest;
   Evacuations Evacuated;
