Shorten the takeover of the coordinator

Change: pages are read only if a job is large enough to have any; tombstones are swept after the orders have been published, from 5 s into a term.

--- a/src/tasks/coordination/ProgressPages.cpp
+++ b/src/tasks/coordination/ProgressPages.cpp
@@ -2,6 +2,8 @@
 
 #include "tasks/StoreKeys.h"
 
+#include <algorithm>
+
 namespace baobabcove {
 
 ProgressRecords progressRecords(const TaskJob &Job) {
@@ -24,6 +26,15 @@
   return Records;
 }
 
+bool mayHavePages(const std::vector<StoreItem> &Items) {
+  return std::any_of(Items.begin(), Items.end(), [](const StoreItem &Item) {
+    wire::TaskJobSpec Spec;
+    return Item.Key.rfind(keys::Jobs, 0) == 0 &&
+           Spec.ParseFromString(Item.Value) &&
+           progressPages(taskCount(Spec)) > 0;
+  });
+}
+
 std::map<JobId, StoredProgress>
 readProgress(const std::vector<StoreItem> &Items,
              const std::vector<StoreItem> &Pages) {
--- a/src/tasks/coordination/ProgressPages.h
+++ b/src/tasks/coordination/ProgressPages.h
@@ -44,6 +44,9 @@
   std::int64_t Revision = 0;
 };
 
+/// Whether any job among \p Items is so large that its progress has pages.
+bool mayHavePages(const std::vector<StoreItem> &Items);
+
 /// Joins the heads among \p Items with \p Pages. Pages without a head and
 /// records that cannot be parsed are left out. Writes are conditional on the
 /// coordinator role, so that nothing changes while its new holder reads.
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::microseconds MaxPause{50000};
 /// Delay between attempts to read the store after the role was acquired.
 constexpr Milliseconds TakeoverRetryDelay{150};
+/// Tombstones are not read before this, so that the first orders of a new
+/// coordinator do not wait for it.
+constexpr Milliseconds SweepDelay{5000};
 /// A worker gets no new task if its agent's poll is overdue by this.
 constexpr Milliseconds ReportMargin{1100};
 /// Lowest rate of a worker's clock relative to real time (the platform allows
@@ -160,6 +163,8 @@
   if (IsWritten) {
     publish();
     recordPublishedCancels();
+    if (Now - TermBegan >= SweepDelay)
+      Tombstones.sweep(*Term, {Now, wallClockMs()});
   }
   Times.Publish = Timer.lap();
   recordRound(Times, Now);
@@ -207,7 +212,9 @@
   }
   const auto All = Kv.list(keys::All);
   const auto Pages =
-      All ? Kv.list(keys::ProgressPages) : Expected<StoreChanges>(All);
+      All && mayHavePages(All->Items)
+          ? Kv.list(keys::ProgressPages)
+          : All.map([](const StoreChanges &) { return StoreChanges(); });
   if (!All || !Pages) {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Current = Epoch();
@@ -217,6 +224,7 @@
   const ClockReading Now = readClocks();
   Tracker.clear();
   Tracker.beginTerm(Term.Number);
+  TermBegan = Now.Boot;
   UnpublishedCancels.clear();
   for (const StoreItem &Item : All->Items) {
     auto Spec = std::make_shared<wire::TaskJobSpec>();
@@ -380,7 +388,6 @@
         Tracker.jobs().erase(Job);
       break;
     }
-  Tombstones.sweep(Term, readClocks());
   return true;
 }
 
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -161,6 +161,8 @@
 
   // Used by the coordinator's thread only.
   Epoch Current;
+  /// When the jobs of the current term had been read.
+  BootInstant TermBegan{};
   JobTracker Tracker;
   ProgressWriter Writer;
   TombstoneSweeper Tombstones;
--- a/tests/tasks/coordination/ProgressWriterTest.cpp
+++ b/tests/tasks/coordination/ProgressWriterTest.cpp
@@ -124,6 +124,8 @@
   CHECK(WriteOutcome::Written == Writer.write(Term, Jobs, Dirty));
   for (const StoreItem &Item : items("baobabcove"))
     CHECK(Item.Value.size() < MaxValueBytes / 4);
+  Kv.put(keys::job(job().id()), job().spec().SerializeAsString());
+  CHECK_TRUE(mayHavePages(items(keys::All)));
   const TaskJob Restored = readBack();
   for (std::size_t Task = 0; Task < ManyTasks; ++Task)
     LONGS_EQUAL(7, Restored.task(Task).Run);
@@ -173,3 +175,12 @@
   CHECK(WriteOutcome::Written == Writer.remove(Term, JobId("job0"), ManyTasks));
   LONGS_EQUAL(0, items(keys::ProgressPages).size());
 }
+
+// Guards against a takeover that waits for one more reading of the store
+// although no job is large.
+TEST(ProgressWriter, ReadsNoPagesForSmallJobs) {
+  addJobs(2, 500);
+  for (const auto &[Id, Job] : Jobs)
+    Kv.put(keys::job(Id), Job.spec().SerializeAsString());
+  CHECK_FALSE(mayHavePages(items(keys::All)));
+}
