--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -199,8 +199,7 @@
   Report.set_rack(Worker->Rack.str());
   Report.set_draining(Worker->Draining);
   Report.set_remaining_ms(Worker->Remaining.count());
-  Report.set_cold_remaining_ms(
-      std::max(ColdUntil - Now, Milliseconds(0)).count());
+  Report.set_cold_for_ms(std::max(ColdUntil - Now, Milliseconds(0)).count());
   addRunning(Report);
   addEnds(Report, Ends);
   addRefusals(Report, RunOrders.refusals());
--- a/src/tasks/planning/ColdWorkers.cpp
+++ b/src/tasks/planning/ColdWorkers.cpp
@@ -22,7 +22,7 @@
   const auto Known = Config.Services.find(ServiceName(Report.service()));
   const ServiceRule Service =
       Known == Config.Services.end() ? ServiceRule() : Known->second;
-  Worker.IsCold = Report.cold_remaining_ms() > 0 && Service.HasColdPeriod;
+  Worker.IsCold = Report.cold_for_ms() > 0 && Service.HasColdPeriod;
   if (Worker.IsCold)
     Worker.StartsLeft = startsLeft(Worker.Incarnation, Service, Now);
 }
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -656,8 +656,7 @@
   WorkerHeartbeat Cold = heartbeat(7, 2);
   Cold.ColdRemaining = Milliseconds(400);
   Agent->onHeartbeat(Cold);
-  CHECK_TRUE(waitUntil([&] {
-    return last().cold_remaining_ms() > 0 && last().cold_remaining_ms() < 300;
-  }));
-  CHECK_TRUE(waitUntil([&] { return last().cold_remaining_ms() == 0; }));
+  CHECK_TRUE(waitUntil(
+      [&] { return last().cold_for_ms() > 0 && last().cold_for_ms() < 300; }));
+  CHECK_TRUE(waitUntil([&] { return last().cold_for_ms() == 0; }));
 }
--- a/tests/tasks/planning/ColdWorkersTest.cpp
+++ b/tests/tasks/planning/ColdWorkersTest.cpp
@@ -15,7 +15,7 @@
   void setup() override {
     Worker.Incarnation = Name;
     Report.set_service("s");
-    Report.set_cold_remaining_ms(8000);
+    Report.set_cold_for_ms(8000);
     Config.Services[ServiceName("s")].ColdStartsPerSecond = 3;
   }
 };
@@ -48,10 +48,10 @@
 // Pattern: a worker that has become warm, or whose service is never cold, stays
 // the last choice.
 TEST(ColdWorkers, LeavesWarmWorkersAlone) {
-  Report.set_cold_remaining_ms(0);
+  Report.set_cold_for_ms(0);
   Cold.describe(Report, Config, Now, Worker);
   CHECK_FALSE(Worker.IsCold);
-  Report.set_cold_remaining_ms(8000);
+  Report.set_cold_for_ms(8000);
   Config.Services[ServiceName("s")].HasColdPeriod = false;
   Cold.describe(Report, Config, Now, Worker);
   CHECK_FALSE(Worker.IsCold);
