Give each test of untrusted task clients its own loopback address

Both run at the same time by hand fail in the same way. Change: the address is made from the id of the test process.

--- a/tests/fault/UntrustedTaskClientTest.cpp
+++ b/tests/fault/UntrustedTaskClientTest.cpp
@@ -26,10 +26,18 @@
 constexpr std::size_t Attackers = 300;
 constexpr std::size_t AttackBytesPerSecond = std::size_t(100) << 20;
 constexpr double AttackSeconds = 0.5;
-/// Ports below the range from which the kernel chooses, on addresses that no
-/// other test uses.
-constexpr const char *EntryIp = "127.77.6.1";
-constexpr const char *AgentIp = "127.77.6.2";
+/// Returns a loopback address of this test process alone, so that tests that
+/// run at the same time do not share the ports of their daemons. The first
+/// octet after 127 is \p Network plus the highest bits of the process id.
+std::string ownAddress(unsigned Network) {
+  const auto Id = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(Network + ((Id >> 16) & 31)) + "." +
+         std::to_string((Id >> 8) & 255) + "." + std::to_string(Id & 255);
+}
+
+// The daemons use ports below the range from which the kernel chooses.
+const std::string EntryIp = ownAddress(64);
+const std::string AgentIp = ownAddress(96);
 constexpr long EntryMemoryMb = 160;
 constexpr long AgentMemoryMb = 128;
 
@@ -154,8 +162,8 @@
   Store.put("op/config", configText(1, ""));
   const TaskDaemon Entry("baobabcove-task-entry", EntryIp, EntryMemoryMb,
                          Store.address());
-  const std::string Front = std::string(EntryIp) + ":8080";
-  const std::string Ready = std::string(EntryIp) + ":8081";
+  const std::string Front = EntryIp + ":8080";
+  const std::string Ready = EntryIp + ":8081";
   HttpClient Readiness(Ready);
   HttpClient Clients(Front);
   const auto IsReady = [&] {
@@ -183,8 +191,8 @@
   Store.put("op/config", configText(1, ""));
   const TaskDaemon Entry("baobabcove-task-entry", EntryIp, EntryMemoryMb,
                          Store.address());
-  const std::string Front = std::string(EntryIp) + ":8080";
-  const std::string Ready = std::string(EntryIp) + ":8081";
+  const std::string Front = EntryIp + ":8080";
+  const std::string Ready = EntryIp + ":8081";
   HttpClient Readiness(Ready);
   HttpClient Clients(Front);
   const auto IsReady = [&] {
@@ -209,7 +217,7 @@
 TEST(UntrustedTaskClient, DoNotStopHeartbeatsToAnAgent) {
   const TaskDaemon Agent("baobabcove-task-agent", AgentIp, AgentMemoryMb,
                          Store.address());
-  const std::string Control = std::string(AgentIp) + ":8082";
+  const std::string Control = AgentIp + ":8082";
   HttpClient Worker(Control);
   // The path is served as a heartbeat; its body is refused.
   const auto Beats = [&] {
@@ -225,7 +233,7 @@
   Store.put("op/config", configText(1, ""));
   const TaskDaemon Entry("baobabcove-task-entry", EntryIp, EntryMemoryMb,
                          Store.address());
-  HttpClient Clients(std::string(EntryIp) + ":8080");
+  HttpClient Clients(EntryIp + ":8080");
   const auto Sends = [&](std::size_t Bytes) {
     return statusOf(Clients,
                     callOf("POST", "/queue/0", std::string(Bytes, ' ')));
