Bound the tasks of all jobs that a coordinator holds

What callers saw: with enough large jobs the entry that coordinates exceeds the memory of its machine and is killed; its successor reads the same jobs and ends the same way, so that no job runs any more.

Cause: a job may have 10,000 tasks, but nothing limited the tasks of all jobs together, and the tasks of ended jobs stayed in memory for the status retention period and 30 s.

The smallest entries have 160 MB.

Change: an entry refuses a job (1201, or 1202 for the workspace) if the unfinished tasks of all jobs would exceed 100,000, or those of one workspace half of that. It reads the store first, so that it never refuses a job that another entry has accepted. The coordinator releases the tasks of a job, and the pages it compares with, once its end is stored.

Tests: two of JobIntake and LargeJob/ReleasesTheTasksOfEndedJobs fail without the change; all pass with it.

--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -91,6 +91,8 @@
   }
 }
 
+void TaskJob::releaseTasks() { std::vector<TaskState>().swap(Tasks); }
+
 wire::TaskJobProgress TaskJob::progress() const {
   wire::TaskJobProgress Stored;
   for (std::size_t At = 0; At < Tasks.size(); ++At) {
@@ -122,7 +124,8 @@
 }
 
 std::optional<std::size_t> TaskJob::position(const TaskName &Name) const {
-  if (Name.Occurrence >= Occurrences || Name.Step >= StepOffsets.size() ||
+  if (Tasks.empty() || Name.Occurrence >= Occurrences ||
+      Name.Step >= StepOffsets.size() ||
       Name.Index >= Spec->steps(static_cast<int>(Name.Step)).count())
     return std::nullopt;
   return first(Name.Occurrence, Name.Step) + Name.Index;
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -17,10 +17,18 @@
 namespace baobabcove {
 
 /// Largest number of tasks of a job, over all its occurrences. The progress of
-/// such a job fits into one transaction of the store, and its tasks take about
-/// 4 MB in each entry.
+/// such a job fits into one transaction of the store.
 constexpr std::uint64_t MaxTasksPerJob = 10000;
 
+/// Largest number of tasks of all jobs that have not ended. Any entry may have
+/// to coordinate them: a task takes 0.3 KB there while it waits and 0.6 KB
+/// while it runs, and the smallest machine has 160 MB. At its largest size the
+/// cell runs 41,000 tasks.
+constexpr std::uint64_t MaxUnfinishedTasks = 100000;
+/// Largest number of such tasks of one workspace, so that the jobs of another
+/// are still accepted.
+constexpr std::uint64_t MaxUnfinishedTasksPerWorkspace = MaxUnfinishedTasks / 2;
+
 /// Returns the number of tasks of all occurrences of a job.
 std::uint64_t taskCount(const wire::TaskJobSpec &Spec);
 
@@ -108,6 +116,7 @@
   /// Returns the status for clients. A job that completed or failed before its
   /// cancellation keeps that status.
   JobStatus status() const;
+  bool isOver() const { return Completed || Failed || Cancelled; }
 };
 
 /// A job with the state of all its tasks.
@@ -124,6 +133,10 @@
   /// Returns the progress to store; tasks that were never started are omitted.
   wire::TaskJobProgress progress() const;
 
+  /// Frees the state of the tasks of an ended job whose progress is stored. The
+  /// job has no tasks from then on.
+  void releaseTasks();
+
   std::uint32_t occurrences() const { return Occurrences; }
   std::size_t size() const { return Tasks.size(); }
   TaskState &task(std::size_t At) { return Tasks[At]; }
@@ -149,7 +162,6 @@
   /// Whether any run may still exist.
   bool hasPlacedTasks() const;
   bool areAllDone() const;
-  bool isOver() const { return Completed || Failed || Cancelled; }
 
   /// Unix time in milliseconds at which the last run of an ended job was gone;
   /// zero before.
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -394,8 +394,13 @@
 
 void JobTracker::finishJobs(const ClockReading &Now) {
   for (auto &[Id, Job] : Jobs) {
-    if (Job.EndedMs)
+    if (Job.EndedMs) {
+      if (Job.size() > 0 && !Dirty.count(Id)) {
+        Job.releaseTasks();
+        IsPlacedIndexStale = true;
+      }
       continue;
+    }
     if (!Job.isOver() && Job.size() > 0 && Job.areAllDone()) {
       Job.Completed = true;
       LOG4CPLUS_INFO(
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -107,7 +107,7 @@
             const QueueConfig &Config, const ClockReading &Now);
 
   /// Completes jobs whose tasks are all done, and ends jobs whose last run is
-  /// gone.
+  /// gone. Releases the tasks of ended jobs that have been stored.
   void finishJobs(const ClockReading &Now);
 
   /// Returns the orders for the worker of \p Report, without the epoch and the
--- a/src/tasks/coordination/JobTrackerEvacuation.cpp
+++ b/src/tasks/coordination/JobTrackerEvacuation.cpp
@@ -206,7 +206,9 @@
     const auto Job = Jobs.find(Id);
     const std::vector<WorkerIncarnation> &Targets = Move->second.Targets;
     bool IsGoing = false;
-    for (std::size_t I = 0; Job != Jobs.end() && I < Targets.size(); ++I) {
+    // An ended job has no tasks any more.
+    const bool HasTasks = Job != Jobs.end() && Job->second.size() > 0;
+    for (std::size_t I = 0; HasTasks && I < Targets.size(); ++I) {
       const TaskState &Task = Job->second.task(First + I);
       IsGoing = IsGoing || Task.Phase == wire::TASK_WAITING ||
                 (Task.Phase == wire::TASK_PLACED && Task.StopRequested);
--- a/src/tasks/coordination/ProgressWriter.cpp
+++ b/src/tasks/coordination/ProgressWriter.cpp
@@ -92,7 +92,9 @@
     if (Result->Revision) {
       Job.Revision = *Result->Revision;
       Dirty.erase(Id);
-      if (!Pending.Records.Pages.empty())
+      if (Job.EndedMs)
+        StoredPages.erase(Id); // The job is not written again.
+      else if (!Pending.Records.Pages.empty())
         StoredPages[Id] = std::move(Pending.Records.Pages);
       continue;
     }
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -383,7 +383,7 @@
       wallClockMs() - (Settings.StatusRetention + RemovalMargin).count();
   for (auto Job = Tracker.jobs().begin(); Job != Tracker.jobs().end(); ++Job)
     if (Job->second.EndedMs && Job->second.EndedMs < RemoveBefore) {
-      if (Writer.remove(Term, Job->first, Job->second.size()) ==
+      if (Writer.remove(Term, Job->first, taskCount(Job->second.spec())) ==
           WriteOutcome::Written)
         Tracker.jobs().erase(Job);
       break;
--- a/src/tasks/intake/JobCatalog.cpp
+++ b/src/tasks/intake/JobCatalog.cpp
@@ -87,6 +87,7 @@
       return;
     Entry.Spec = Spec;
     Entry.Revision = Revision;
+    Entry.Tasks = taskCount(*Spec);
   }
   if (Listener)
     Listener->onJob(std::move(Spec));
@@ -152,6 +153,20 @@
       }));
 }
 
+UnfinishedTasks
+JobCatalog::unfinishedTasks(const std::string &Workspace) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  UnfinishedTasks Sum;
+  for (const auto &[Id, Entry] : Entries) {
+    if (Entry.isOver())
+      continue;
+    Sum.InCell += Entry.Tasks;
+    if (Entry.Spec->workspace() == Workspace)
+      Sum.OfWorkspace += Entry.Tasks;
+  }
+  return Sum;
+}
+
 std::size_t JobCatalog::size() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   return Entries.size();
--- a/src/tasks/intake/JobCatalog.h
+++ b/src/tasks/intake/JobCatalog.h
@@ -18,6 +18,14 @@
   std::shared_ptr<const wire::TaskJobSpec> Spec;
   /// Store revision of the accepted job.
   std::int64_t Revision = 0;
+  /// Number of tasks of all occurrences.
+  std::uint64_t Tasks = 0;
+};
+
+/// Numbers of tasks of jobs that are not over.
+struct UnfinishedTasks {
+  std::uint64_t InCell = 0;
+  std::uint64_t OfWorkspace = 0;
 };
 
 /// The holder of the coordinator role according to the store.
@@ -56,6 +64,8 @@
   std::optional<CatalogEntry> find(const JobId &Id) const;
   /// Returns the number of jobs of \p Queue of which no task has started.
   std::size_t pendingJobs(const std::string &Queue) const;
+  /// Returns the unfinished tasks of all jobs, and of those of \p Workspace.
+  UnfinishedTasks unfinishedTasks(const std::string &Workspace) const;
   std::size_t size() const;
   /// Returns nothing while no process holds the role.
   std::optional<RoleHolder> roleHolder() const;
--- a/src/tasks/intake/JobIntake.cpp
+++ b/src/tasks/intake/JobIntake.cpp
@@ -53,6 +53,15 @@
             std::to_string(
                 Kv.health().outageDuration(BootClock::now()).count()) +
             " ms; the job was not stored.");
+  if (const auto Room = checkRoom(Spec); !Room) {
+    // A refusal must not hide that another entry has accepted the job.
+    const auto Stored = readFromStore(Id);
+    if (Stored)
+      return checkAccess(submitterOf(Spec), *Stored->Spec);
+    return Stored.error().Code == ResultCode::UnknownJob
+               ? Room
+               : tl::unexpected<Error>(Stored.error());
+  }
   Transaction Change;
   Change.Conditions.push_back({keys::job(Id), 0});
   Change.Conditions.push_back({keys::tombstone(Id, ownerOf(Spec)), 0});
@@ -80,6 +89,26 @@
   return tl::unexpected<Error>(Result.error());
 }
 
+Expected<void> JobIntake::checkRoom(const wire::TaskJobSpec &Spec) const {
+  const std::uint64_t Tasks = taskCount(Spec);
+  const UnfinishedTasks Held = Catalog.unfinishedTasks(Spec.workspace());
+  const auto Refuse = [&](ResultCode Code, const std::string &Holder,
+                          std::uint64_t HeldTasks, std::uint64_t Limit) {
+    return failure(Code, Holder + " has " + std::to_string(HeldTasks) +
+                             " unfinished tasks; with the " +
+                             std::to_string(Tasks) +
+                             " of this job it would exceed the limit of " +
+                             std::to_string(Limit) + ".");
+  };
+  if (Held.OfWorkspace + Tasks > MaxUnfinishedTasksPerWorkspace)
+    return Refuse(ResultCode::WorkspaceLimit, "The workspace", Held.OfWorkspace,
+                  MaxUnfinishedTasksPerWorkspace);
+  if (Held.InCell + Tasks > MaxUnfinishedTasks)
+    return Refuse(ResultCode::Overloaded, "The cell", Held.InCell,
+                  MaxUnfinishedTasks);
+  return {};
+}
+
 Expected<void> JobIntake::resolveConflict(const wire::TaskJobSpec &Spec,
                                           const CommitResult &Current) {
   const JobId Id(Spec.id());
--- a/src/tasks/intake/JobIntake.h
+++ b/src/tasks/intake/JobIntake.h
@@ -21,7 +21,8 @@
 
   /// Stores \p Spec. Idempotent: a job is run once however often it is
   /// submitted, and the call succeeds for a job that was accepted before. Fails
-  /// with UnknownJob if the job was cancelled before it was stored.
+  /// with UnknownJob if the job was cancelled before it was stored, and with
+  /// WorkspaceLimit or Overloaded while too many tasks are unfinished.
   Expected<void> accept(const wire::TaskJobSpec &Spec);
 
   /// Cancels a job. Succeeds for a job that has already ended. Fails with
@@ -39,6 +40,10 @@
   }
 
 private:
+  /// Fails with WorkspaceLimit or Overloaded if a coordinator could not hold
+  /// the job beside the unfinished ones. Other entries may accept jobs at the
+  /// same time, so that the limits can be exceeded by a few jobs.
+  Expected<void> checkRoom(const wire::TaskJobSpec &Spec) const;
   Expected<CatalogEntry> find(const JobId &Id);
   /// Returns the outcome of a submission whose write was not carried out
   /// because of \p Current.
--- a/tests/tasks/coordination/LargeJobTest.cpp
+++ b/tests/tasks/coordination/LargeJobTest.cpp
@@ -141,3 +141,42 @@
     Tracker.plan({Report}, Config, Now);
   LONGS_EQUAL(600, placed("a"));
 }
+
+// Guards against the tasks of ended jobs, which stayed in memory for the status
+// retention period: the jobs of 150 s together could take a coordinator over
+// its memory.
+TEST(LargeJob, ReleasesTheTasksOfEndedJobs) {
+  addJob("a", LargeJobTasks);
+  Tracker.plan({reportOf("n1", AmpleRoom)}, Config, Now);
+  Tracker.cancel(JobId("a"), Now);
+  Tracker.expireLeases(NodeId("n1"), Now);
+  Tracker.finishJobs(Now);
+  const TaskJob &Job = Tracker.jobs().at(JobId("a"));
+  CHECK_TRUE(Job.EndedMs > 0);
+  // The tasks are needed until the end of the job is stored.
+  Tracker.finishJobs(Now);
+  LONGS_EQUAL(LargeJobTasks, Job.size());
+  Tracker.dirty().clear();
+  Tracker.finishJobs(Now);
+  LONGS_EQUAL(0, Job.size());
+  CHECK(JobStatus::Cancelled == Job.status());
+}
+
+// Guards against a late end of a run of an ended job that finds no task.
+TEST(LargeJob, AcknowledgesEndsOfReleasedTasks) {
+  addJob("a", 10);
+  Tracker.plan({reportOf("n1", 10)}, Config, Now);
+  Tracker.cancel(JobId("a"), Now);
+  Tracker.expireLeases(NodeId("n1"), Now);
+  Tracker.finishJobs(Now);
+  Tracker.dirty().clear();
+  Tracker.finishJobs(Now);
+  wire::TaskReport Late = reportOf("n1", 10);
+  wire::RunEnd &End = *Late.add_ends();
+  End.set_number(1);
+  End.set_task("a.0.0.3");
+  End.set_run(1);
+  End.set_ending(wire::RUN_DONE);
+  Tracker.applyReport(Late, Now);
+  LONGS_EQUAL(1, Tracker.ordersFor(Late).acknowledged_end());
+}
--- a/tests/tasks/intake/JobIntakeTest.cpp
+++ b/tests/tasks/intake/JobIntakeTest.cpp
@@ -23,6 +23,32 @@
     return Spec;
   }
 
+  const std::string LastId = "00000000000000ff";
+
+  static std::string idOf(int Number) {
+    return "00000000000001" + std::to_string(10 + Number);
+  }
+
+  static wire::TaskJobSpec largeJob(const std::string &Id,
+                                    const std::string &Workspace) {
+    wire::TaskJobSpec Spec;
+    Spec.set_id(Id);
+    Spec.set_queue("q");
+    Spec.set_workspace(Workspace);
+    Spec.add_steps()->set_count(8000);
+    return Spec;
+  }
+
+  /// Submits 20 jobs of three workspaces in turn. Returns how many were
+  /// accepted.
+  std::uint64_t submitLargeJobs() {
+    std::uint64_t Accepted = 0;
+    for (int Job = 0; Job < 20; ++Job)
+      if (Intake.accept(largeJob(idOf(Job), "team" + std::to_string(Job % 3))))
+        ++Accepted;
+    return Accepted;
+  }
+
   void setProgress(bool Completed) {
     wire::TaskJobProgress Progress;
     Progress.set_completed(Completed);
@@ -51,6 +77,51 @@
   CHECK_TRUE(Intake.accept(Large).has_value());
 }
 
+// Guards against coordinators that are killed one after the other for their
+// memory: 80 waiting jobs of 8,000 tasks took 216 MB, and every successor read
+// all of them again.
+TEST(JobIntake, RefusesJobsBeyondTheTasksThatACoordinatorCanHold) {
+  const std::uint64_t Accepted = submitLargeJobs();
+  CHECK_TRUE(Accepted * 8000 <= MaxUnfinishedTasks);
+  CHECK_TRUE((Accepted + 1) * 8000 > MaxUnfinishedTasks);
+  const auto Refused = Intake.accept(largeJob(LastId, "team1"));
+  CHECK_FALSE(Refused.has_value());
+  CHECK(ResultCode::Overloaded == Refused.error().Code);
+  CHECK(Outcome::NotRun == resultInfo(Refused.error().Code).RunOutcome);
+  STRCMP_EQUAL("", Kv.value(keys::job(JobId(LastId))).c_str());
+}
+
+// Guards against one workspace whose jobs keep those of all others out.
+TEST(JobIntake, AcceptsAJobBesideAWorkspaceThatHasUsedUpItsShare) {
+  for (int Job = 0; Job < 10; ++Job)
+    (void)Intake.accept(largeJob(idOf(Job), "team1"));
+  const auto Refused = Intake.accept(largeJob(LastId, "team1"));
+  CHECK_FALSE(Refused.has_value());
+  CHECK(ResultCode::WorkspaceLimit == Refused.error().Code);
+  CHECK_TRUE(Intake.accept(largeJob(LastId, "team2")).has_value());
+}
+
+// Guards against a limit that counts the tasks of jobs that are over.
+TEST(JobIntake, AcceptsJobsAgainOnceEarlierOnesAreOver) {
+  submitLargeJobs();
+  wire::TaskJobProgress Over;
+  Over.set_completed(true);
+  Kv.put(keys::progress(JobId(idOf(0))), Over.SerializeAsString());
+  Catalog.apply({Kv.list(keys::Progress)->Items, 0});
+  CHECK_TRUE(Intake.accept(largeJob(LastId, "team3")).has_value());
+}
+
+// Guards against a refusal of a job that another entry has accepted: it would
+// run although its caller was told that it does not.
+TEST(JobIntake, AcceptsADuplicateOfAStoredJobWithoutRoomForMore) {
+  JobCatalog OtherCatalog{nullptr};
+  JobIntake OtherIntake{Kv, OtherCatalog};
+  const wire::TaskJobSpec Job = largeJob(LastId, "team3");
+  CHECK_TRUE(OtherIntake.accept(Job).has_value());
+  submitLargeJobs();
+  CHECK_TRUE(Intake.accept(Job).has_value());
+}
+
 TEST(JobIntake, AcceptsADuplicateIdWithoutASecondJob) {
   JobCatalog Other{nullptr};
   JobIntake OtherIntake{Kv, Other};
