Log and count why steps with ready tasks are not placed

A job that waits left no line between "step added" and "run placed", so that the causes of a long wait (no room near the data, workers kept free, quarantine, isolation, members still being stopped) could not be told apart.

About once a second the four steps that have waited longest are logged as "step waits", with the reason and the time since they last placed a task; the metrics waiting_steps, waiting_steps_REASON and waiting_steps_longest_ms show the same, and rounds_unconfirmed counts rounds without a confirmed role. Nothing else changes.

--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -184,6 +184,13 @@
   return Spec->first_due_ms() + Occurrence * Spec->interval_ms();
 }
 
+bool TaskJob::hasWaitingTask(std::size_t First, std::size_t Count) const {
+  const auto Begin = Tasks.begin() + static_cast<std::ptrdiff_t>(First);
+  return std::any_of(
+      Begin, Begin + static_cast<std::ptrdiff_t>(Count),
+      [](const TaskState &Task) { return Task.Phase == wire::TASK_WAITING; });
+}
+
 bool TaskJob::hasPlacedTasks() const {
   return std::any_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
     return Task.Phase == wire::TASK_PLACED;
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -159,6 +159,8 @@
   /// Returns the Unix time in milliseconds from which an occurrence may start.
   std::int64_t dueMs(std::uint32_t Occurrence) const;
 
+  /// Whether any of \p Count tasks from \p First on waits.
+  bool hasWaitingTask(std::size_t First, std::size_t Count) const;
   /// Whether any run may still exist.
   bool hasPlacedTasks() const;
   bool areAllDone() const;
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -52,6 +52,8 @@
   EarlyCancels.clear();
   UnflushedCheckpoints.clear();
   Reservations.clear();
+  WaitingSteps.clear();
+  Waits.clear();
   GivenUp.clear();
   Moves.clear();
 }
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -116,6 +116,11 @@
   wire::TaskOrders ordersFor(const wire::TaskReport &Report,
                              std::uint64_t Revision = 1);
 
+  /// The longest waits of steps, as explained about once a second.
+  const std::vector<StepWait> &waits() const { return Waits; }
+  /// Number of steps that have ready tasks and did not place any.
+  std::size_t waitingSteps() const { return WaitingSteps.size(); }
+
   /// Number of runs in evacuated data centres at the last plan, and of the runs
   /// that were moved from there and the starts that were withdrawn so far.
   std::size_t runsInEvacuated() const { return RunsInEvacuated; }
@@ -213,6 +218,9 @@
                           const QueueConfig &Config, const ClockReading &Now);
   void addUnits(TaskJob &Job, bool Guaranteed, const ClockReading &Now,
                 PlanInput &Input);
+  /// Adds the gang whose first task is \p First if all members may start.
+  void addGang(TaskJob &Job, std::size_t First, PlanUnit Unit,
+               const ClockReading &Now, PlanInput &Input);
   /// Adds a unit for each task of a step that may start, up to a bound for each
   /// kind of task; the others follow in later rounds. \p Common holds what the
   /// units have in common.
@@ -239,6 +247,14 @@
   /// Lets a unit of a long-running step that was down precede all but the
   /// guaranteed ones and ignore the reserve of fully free workers.
   static void preferRestart(PlanUnit &Unit, const TaskJob &Job);
+  /// Notes that the step whose first task is \p First has ready tasks, for
+  /// which the units of \p Input from \p FirstUnit on were added, if any.
+  void noteWaitingStep(const TaskJob &Job, std::size_t First,
+                       const ClockReading &Now, std::size_t FirstUnit,
+                       PlanInput &Input);
+  void beginWaits(const ClockReading &Now);
+  /// Forgets the steps that do not wait any more, and logs why others do.
+  void explainWaits(const TaskPlan &Plan);
   void applyPlan(const TaskPlan &Plan, const PlanInput &Input,
                  const ClockReading &Now);
 
@@ -289,6 +305,13 @@
   /// Workers reserved by the last plan, by the unit's first task.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
+  /// Since when steps have had ready tasks without placing any, by step key.
+  std::map<std::string, BootInstant> WaitingSteps;
+  /// Those among them that still wait in this round.
+  std::set<std::string> StillWaiting;
+  std::vector<StepWait> Waits;
+  BootInstant WaitsExplainedAt{};
+  bool ExplainsWaits = false;
   /// Number of reachable workers at the last plan.
   std::size_t ReachableWorkers = 0;
   /// Units that the last plan isolated, by their first task.
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -78,6 +78,7 @@
     Retry = Retry->second <= Now.Boot ? RetryNotBefore.erase(Retry)
                                       : std::next(Retry);
   Forecasts.clear();
+  beginWaits(Now);
   withdrawFromEvacuated(Reports);
   PlanInput Input = makePlanInput(Reports, Config, Now);
   applyStartRules(Reports, Now, Input);
@@ -90,6 +91,7 @@
     applyPlan(Plan, Input, Now);
   } else
     prepareMoves(Now, Input);
+  explainWaits(Plan);
   moveEvacuatedRuns(Reports, Input, Plan, Config, Now);
 }
 
@@ -366,22 +368,29 @@
           !Job.isStepReady(Occurrence, Step, Now.UnixMs))
         continue;
       PlanUnit Unit = makeUnit(Job, Occurrence, Step, Guaranteed, Now);
-      if (!Job.spec().steps(S).gang()) {
+      const std::size_t FirstUnit = Input.Units.size();
+      if (Job.spec().steps(S).gang())
+        addGang(Job, First, std::move(Unit), Now, Input);
+      else
         addSingleTasks(Job, First, Unit, Now, Input);
-        continue;
-      }
-      for (std::size_t At = First; At < First + Count; ++At)
-        if (mayStart(Job, At, Now))
-          Unit.Tasks.push_back(At);
-      if (Unit.Tasks.size() != Count)
-        continue;
-      preferRestart(Unit, Job);
-      restrictSuspect(Unit, Job, Now);
-      Input.Units.push_back(std::move(Unit));
+      if (Job.hasWaitingTask(First, Count))
+        noteWaitingStep(Job, First, Now, FirstUnit, Input);
     }
   }
 }
 
+void JobTracker::addGang(TaskJob &Job, std::size_t First, PlanUnit Unit,
+                         const ClockReading &Now, PlanInput &Input) {
+  for (std::size_t At = First; At < First + Unit.Step->count(); ++At) {
+    if (!mayStart(Job, At, Now))
+      return;
+    Unit.Tasks.push_back(At);
+  }
+  preferRestart(Unit, Job);
+  restrictSuspect(Unit, Job, Now);
+  Input.Units.push_back(std::move(Unit));
+}
+
 void JobTracker::addSingleTasks(TaskJob &Job, std::size_t First,
                                 const PlanUnit &Common, const ClockReading &Now,
                                 PlanInput &Input) {
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -7,6 +7,7 @@
 #include "tasks/coordination/RunTimeReport.h"
 
 #include <algorithm>
+#include <array>
 
 namespace baobabcove {
 
@@ -41,6 +42,22 @@
 /// What the run time model shows is brought up to date this often.
 constexpr Milliseconds RunTimeReportPeriod{10000};
 
+/// Shows why the steps that wait longest are not placed.
+void recordWaits(const JobTracker &Tracker, Metrics &Stats) {
+  std::array<std::uint64_t, WaitReasonNames.size()> Steps{};
+  Milliseconds Longest{0};
+  for (const StepWait &Wait : Tracker.waits()) {
+    ++Steps[static_cast<std::size_t>(Wait.Reason)];
+    Longest = std::max(Longest, Wait.Waited);
+  }
+  for (std::size_t Reason = 0; Reason < Steps.size(); ++Reason)
+    Stats.set(std::string("waiting_steps_") + WaitReasonNames[Reason],
+              Steps[Reason]);
+  Stats.set("waiting_steps", Tracker.waitingSteps());
+  Stats.set("waiting_steps_longest_ms",
+            static_cast<std::uint64_t>(Longest.count()));
+}
+
 ClockReading readClocks() { return {BootClock::now(), wallClockMs()}; }
 
 /// Measures consecutive parts of a piece of work.
@@ -143,8 +160,10 @@
     std::this_thread::sleep_for(TakeoverRetryDelay);
     return;
   }
-  if (!Role->isConfirmed())
+  if (!Role->isConfirmed()) {
+    Stats.count("rounds_unconfirmed");
     return;
+  }
   RoundTimes Times;
   LapTimer Timer;
   // Earlier decisions must be in the store before new ones are made.
@@ -348,6 +367,7 @@
   }
   Tracker.setStartRules({Orders.Evacuated, Settings.EvacuationBound});
   Tracker.plan(Reachable, *Orders.Config, Time);
+  recordWaits(Tracker, Stats);
   Tracker.flushCheckpoints(Time);
   recordEvacuations(Orders.Evacuated);
 }
--- a/src/tasks/planning/PlacementRules.cpp
+++ b/src/tasks/planning/PlacementRules.cpp
@@ -4,13 +4,30 @@
 
 namespace baobabcove {
 
-bool isEligible(const PlanWorker &Worker, const PlanUnit &Unit) {
+namespace {
+
+bool isSuitable(const PlanWorker &Worker, const PlanUnit &Unit) {
   const std::string &Label = Unit.Step->required_label();
-  return Worker.AcceptsTasks && Worker.Service == Unit.Service &&
+  return Worker.Service == Unit.Service &&
          (Label.empty() || std::find(Worker.Labels.begin(), Worker.Labels.end(),
                                      Label) != Worker.Labels.end());
 }
 
+} // namespace
+
+bool isEligible(const PlanWorker &Worker, const PlanUnit &Unit) {
+  return Worker.AcceptsTasks && isSuitable(Worker, Unit);
+}
+
+bool hasWorkerFor(const std::vector<PlanWorker> &Workers,
+                  const PlanUnit &Unit) {
+  const Resources Need = resourcesOf(*Unit.Step);
+  return std::any_of(
+      Workers.begin(), Workers.end(), [&](const PlanWorker &Worker) {
+        return isSuitable(Worker, Unit) && Worker.Capacity.covers(Need);
+      });
+}
+
 bool mayJoin(const PlanWorker &Worker, const PlanUnit &Unit) {
   if (!Unit.Isolated)
     return !Worker.HasSuspect;
--- a/src/tasks/planning/PlacementRules.h
+++ b/src/tasks/planning/PlacementRules.h
@@ -14,6 +14,10 @@
 /// that it requires.
 bool isEligible(const PlanWorker &Worker, const PlanUnit &Unit);
 
+/// Whether any worker has the service and label that \p Unit requires, and the
+/// capacity for one of its tasks.
+bool hasWorkerFor(const std::vector<PlanWorker> &Workers, const PlanUnit &Unit);
+
 /// Whether \p Unit may start beside the runs on \p Worker.
 bool mayJoin(const PlanWorker &Worker, const PlanUnit &Unit);
 
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -68,6 +68,7 @@
       else if (Unit.CrashNodes.empty())
         FullSteps.insert(Unit.StepKey);
     }
+    explainWaits();
     return std::move(Out);
   }
 
@@ -251,6 +252,45 @@
     return Best;
   }
 
+  /// Explains why units that asked for it were not placed. Called once all
+  /// units have been planned, since it changes the workers.
+  void explainWaits() {
+    const std::vector<PlanWorker> Workers = In.Workers;
+    for (const PlanUnit &Unit : In.Units)
+      if (Unit.ExplainsWait) {
+        Out.Waits.emplace(Unit.StepKey, waitReason(Unit));
+        In.Workers = Workers;
+      }
+  }
+
+  /// Returns the first constraint without which \p Unit would fit.
+  WaitReason waitReason(const PlanUnit &Unit) {
+    const auto Fits = [&](const PlanUnit &Relaxed, bool Remote) {
+      return findPlacement(Relaxed, Free, Remote).has_value();
+    };
+    if (!hasWorkerFor(In.Workers, Unit))
+      return WaitReason::NoWorker;
+    PlanUnit Relaxed = Unit;
+    Relaxed.KeepFullyFree = 0;
+    if (Fits(Relaxed, Unit.MayRunRemote))
+      return WaitReason::Reserve;
+    if (Fits(Relaxed, true))
+      return WaitReason::Locality;
+    for (PlanWorker &Worker : In.Workers)
+      Worker.StartsLeft = std::numeric_limits<std::uint32_t>::max();
+    if (Fits(Relaxed, true))
+      return WaitReason::ColdLimit;
+    Relaxed.Isolated = false;
+    for (PlanWorker &Worker : In.Workers)
+      Worker.HasSuspect = false;
+    if (Fits(Relaxed, true))
+      return WaitReason::Isolation;
+    for (PlanWorker &Worker : In.Workers)
+      Worker.AcceptsTasks = true;
+    return Fits(Relaxed, true) ? WaitReason::ExcludedWorkers
+                               : WaitReason::NoCapacity;
+  }
+
   void reserve(const PlanUnit &Unit, const Assignment &Placement) {
     for (std::size_t W : Placement) {
       Free[W] -= resourcesOf(*Unit.Step);
--- a/src/tasks/planning/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -5,6 +5,7 @@
 #include "baobabcove/Ids.h"
 #include "tasks/Resources.h"
 #include "tasks/TaskJob.h"
+#include "tasks/planning/WaitReason.h"
 
 #include <cstdint>
 #include <limits>
@@ -111,6 +112,8 @@
   /// Nodes that a unit under suspicion avoids if there are others, because
   /// workers crashed under it there and may be faulty.
   std::vector<NodeId> CrashNodes;
+  /// Whether the plan tells why the unit is not placed.
+  bool ExplainsWait = false;
 };
 
 /// A snapshot of the cell.
@@ -151,6 +154,8 @@
   /// Workers reserved for units that cannot start yet, for the next round.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
+  /// Why units that asked for it are not placed, by step key.
+  std::map<std::string, WaitReason> Waits;
 };
 
 /// Plans the placement of tasks and the preemption of runs. Has no side
--- /dev/null
+++ b/tests/tasks/coordination/StepWaitTest.cpp
@@ -0,0 +1,107 @@
+// Why ready tasks are not placed: what an operator sees of a job that waits.
+
+#include "tasks/coordination/JobTracker.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+TEST_GROUP(StepWait) {
+  JobTracker Tracker;
+  QueueConfig Config;
+  ClockReading Now{BootInstant(Milliseconds(100000)), 1000000};
+  std::vector<wire::TaskReport> Reports;
+
+  void setup() override {
+    for (const char *Node : {"n1", "n2", "n3"})
+      Reports.push_back(reportOf(Node));
+  }
+
+  /// Returns the report of a worker of 8 accelerators in a rack of its own.
+  static wire::TaskReport reportOf(const std::string &Node) {
+    wire::TaskReport Report;
+    Report.set_node(Node);
+    Report.set_worker(Node + "/w#1");
+    Report.set_service("planner");
+    Report.set_milli_cores(32000);
+    Report.set_memory_mb(131072);
+    Report.set_accelerators(8);
+    Report.set_rack("r-" + Node);
+    Report.set_complete(true);
+    Report.set_agent_life(1);
+    return Report;
+  }
+
+  std::shared_ptr<wire::TaskJobSpec> jobOf(
+      const std::string &Id, std::uint32_t Tasks, std::int64_t Accelerators) {
+    auto Spec = std::make_shared<wire::TaskJobSpec>();
+    Spec->set_id(Id);
+    Spec->set_queue("q");
+    Spec->set_service("planner");
+    Spec->set_accepted_ms(Now.UnixMs);
+    Spec->set_max_attempts(2);
+    Spec->set_priority(1);
+    Spec->set_stretch(3);
+    wire::StepSpec &Step = *Spec->add_steps();
+    Step.set_count(Tasks);
+    Step.set_accelerators(Accelerators);
+    Step.set_estimate_ms(60000);
+    return Spec;
+  }
+
+  /// Plans for \p Duration and returns the reason of the only step that waits,
+  /// or "none".
+  std::string reasonAfter(Milliseconds Duration) {
+    for (Milliseconds Passed{0}; Passed < Duration;
+         Passed += Milliseconds(100)) {
+      Tracker.plan(Reports, Config, Now);
+      Now.Boot += Milliseconds(100);
+      Now.UnixMs += 100;
+    }
+    if (Tracker.waits().size() != 1)
+      return "none";
+    return nameOf(Tracker.waits().front().Reason);
+  }
+};
+
+TEST(StepWait, TellsThatNoWorkerCanHoldATask) {
+  Tracker.addJob(jobOf("a", 1, 16));
+  STRCMP_EQUAL("no_worker", reasonAfter(Milliseconds(3000)).c_str());
+  LONGS_EQUAL(1, Tracker.waitingSteps());
+}
+
+TEST(StepWait, TellsThatTheCapacityIsInUse) {
+  Tracker.addJob(jobOf("a", 4, 8));
+  STRCMP_EQUAL("no_capacity", reasonAfter(Milliseconds(3000)).c_str());
+}
+
+TEST(StepWait, TellsThatWorkersAreExcluded) {
+  for (wire::TaskReport &Report : Reports)
+    Report.set_draining(true);
+  Tracker.addJob(jobOf("a", 1, 8));
+  STRCMP_EQUAL("excluded_workers", reasonAfter(Milliseconds(3000)).c_str());
+}
+
+TEST(StepWait, TellsThatAGangIsNotReady) {
+  const auto Spec = jobOf("a", 2, 8);
+  Spec->mutable_steps(0)->set_gang(true);
+  Tracker.addJob(Spec);
+  Tracker.plan(Reports, Config, Now);
+  wire::RunEnd &End = *Reports[0].add_ends();
+  End.set_number(1);
+  End.set_task("a.0.0.0");
+  End.set_run(1);
+  End.set_ending(wire::RUN_BROKEN);
+  Tracker.applyReport(Reports[0], Now);
+  STRCMP_EQUAL("not_ready", reasonAfter(Milliseconds(3000)).c_str());
+}
+
+TEST(StepWait, ForgetsAStepOnceATaskIsPlaced) {
+  std::vector<wire::TaskReport> All;
+  std::swap(All, Reports);
+  Tracker.addJob(jobOf("a", 1, 8));
+  STRCMP_EQUAL("no_worker", reasonAfter(Milliseconds(3000)).c_str());
+  std::swap(All, Reports);
+  STRCMP_EQUAL("none", reasonAfter(Milliseconds(1500)).c_str());
+  LONGS_EQUAL(0, Tracker.waitingSteps());
+}
