Start jobs elsewhere when no rack can hold them or an idle cell would wait

Cause: a unit that should run in one rack, or near its data, was placed elsewhere only once it had waited for longer than twice its expected duration, also where no rack can ever hold it, where the rack's workers are gone or drain, and where the duration is a declared one that is far off, which nothing corrects after a takeover. None of the unit's tasks ran until then.

Change: the planner decides when it finds room elsewhere only. It takes it if no rack can hold the unit, if the job has had nothing placed for 2 s in a mostly free cell, or if no rack is expected to have room before the remote run has made up for its longer duration, by the ends that are known. A rack in quarantine is waited for, and for 1.5 s after a takeover no rack counts as too small, as agents have yet to report. The former wait, the remote penalty less one times the duration, remains as a bound.

TaskPlanner/KeepsAGangInOneRackUntilItMayRunRemote had racks of one worker for a gang of two, the fault itself; its racks now have two workers, of which one is full.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -52,6 +52,7 @@
   EarlyCancels.clear();
   UnflushedCheckpoints.clear();
   Reservations.clear();
+  FirstPlanAt = BootInstant{};
   WaitingSteps.clear();
   Waits.clear();
   GivenUp.clear();
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -312,6 +312,8 @@
   std::vector<StepWait> Waits;
   BootInstant WaitsExplainedAt{};
   bool ExplainsWaits = false;
+  /// When the first plan of this term was made.
+  BootInstant FirstPlanAt{};
   /// Number of reachable workers at the last plan.
   std::size_t ReachableWorkers = 0;
   /// Units that the last plan isolated, by their first task.
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -15,9 +15,13 @@
 /// Cores that one accelerator is equivalent to when lost work is valued, by the
 /// users' price list.
 constexpr double CoresPerAccelerator = 8;
-/// A unit that has waited for longer than this multiple of its duration may run
-/// away from its data, where it takes longer by the remote penalty.
-constexpr double RemoteWaitFactor = 2;
+/// A unit of a job with no task placed that has waited for longer may run away
+/// from its data while most of the cell is free. The users' limit on such a
+/// wait is 3 s; the writes to the store and the start take 0.5 s of it.
+constexpr Milliseconds MaxIdleWait{2000};
+/// The workers of the cell are known this long after the first plan of a term:
+/// agents call at least once a second.
+constexpr Milliseconds CellKnownAfter{1500};
 
 /// A guaranteed job waits this long before runs are preempted for it, because
 /// short tasks end all the time. The stop, two writes to the store and the
@@ -100,6 +104,9 @@
                           const QueueConfig &Config, const ClockReading &Now) {
   PlanInput Input;
   ReachableWorkers = Reports.size();
+  if (FirstPlanAt == BootInstant{})
+    FirstPlanAt = Now.Boot;
+  Input.IsCellKnown = Now.Boot - FirstPlanAt >= CellKnownAfter;
   selectIsolatedUnits();
   std::map<WorkerIncarnation, std::size_t> Position;
   for (const wire::TaskReport &Report : Reports) {
@@ -114,9 +121,10 @@
     Worker.Speed = RunTimes.placementSpeed(NodeId(Report.node()));
     addUnplacedRuns(Report, Worker);
     Cold.describe(Report, Config, Now.Boot, Worker);
-    Worker.AcceptsTasks =
+    Worker.IsQuarantined =
         !Report.draining() &&
-        !Quarantine.isQuarantined(NodeId(Report.node()), Now.Boot);
+        Quarantine.isQuarantined(NodeId(Report.node()), Now.Boot);
+    Worker.AcceptsTasks = !Report.draining() && !Worker.IsQuarantined;
     Position[Worker.Incarnation] = Input.Workers.size();
     Input.Workers.push_back(std::move(Worker));
   }
@@ -340,9 +348,13 @@
       Forecast.Slack > HoldbackMinSlack && !HeldBackTooLong)
     Unit.KeepFullyFree = static_cast<std::size_t>(
         std::lround(FullyFreeShareForUrgent * double(ReachableWorkers)));
-  Unit.MayRunRemote =
-      double(WaitedMs) > RemoteWaitFactor * double(Duration.count()) ||
-      isRackEvacuated(RackName(Unit.Step->data_rack()));
+  Unit.RemoteCost = RunTimes.remoteCost(Duration);
+  Unit.MayRunRemote = WaitedMs > Unit.RemoteCost.count() ||
+                      isRackEvacuated(RackName(Unit.Step->data_rack()));
+  const auto Waiting = WaitingSteps.find(Unit.StepKey);
+  Unit.IsIdleForLong = Waiting != WaitingSteps.end() &&
+                       Now.Boot - Waiting->second >= MaxIdleWait &&
+                       !Job.hasPlacedTasks();
   return Unit;
 }
 
--- a/src/tasks/coordination/JobTrackerWaits.cpp
+++ b/src/tasks/coordination/JobTrackerWaits.cpp
@@ -55,13 +55,13 @@
   for (auto Step = WaitingSteps.begin(); Step != WaitingSteps.end();)
     Step = StillWaiting.count(Step->first) ? std::next(Step)
                                            : WaitingSteps.erase(Step);
-  if (!ExplainsWaits)
-    return;
   Waits.erase(std::remove_if(Waits.begin(), Waits.end(),
                              [&](const StepWait &Wait) {
                                return !StillWaiting.count(Wait.Step);
                              }),
               Waits.end());
+  if (!ExplainsWaits)
+    return;
   for (StepWait &Wait : Waits) {
     if (const auto Known = Plan.Waits.find(Wait.Step);
         Known != Plan.Waits.end())
--- a/src/tasks/coordination/TaskRunTimes.cpp
+++ b/src/tasks/coordination/TaskRunTimes.cpp
@@ -261,6 +261,10 @@
   return times(Here.median(), double(Left) / AllWorkDone);
 }
 
+Milliseconds TaskRunTimes::remoteCost(Milliseconds Duration) const {
+  return times(Duration, Settings.RemotePenalty - 1);
+}
+
 Milliseconds TaskRunTimes::workDone(const TaskJob &Job, std::size_t At) const {
   const TaskState &Task = Job.task(At);
   const auto Pace = Task.Pace.msPerPercent();
--- a/src/tasks/coordination/TaskRunTimes.h
+++ b/src/tasks/coordination/TaskRunTimes.h
@@ -63,6 +63,8 @@
   Milliseconds remaining(const TaskJob &Job, std::size_t At,
                          const DurationEstimate &Nominal,
                          BootInstant Now) const;
+  /// Returns by how much longer work of \p Duration takes away from its data.
+  Milliseconds remoteCost(Milliseconds Duration) const;
   /// Returns the time for which the work of a run has made progress so far.
   Milliseconds workDone(const TaskJob &Job, std::size_t At) const;
   /// Returns for how long a run may show no progress before it is stalled; at
--- a/src/tasks/planning/PlacementRules.cpp
+++ b/src/tasks/planning/PlacementRules.cpp
@@ -1,6 +1,7 @@
 #include "tasks/planning/PlacementRules.h"
 
 #include <algorithm>
+#include <map>
 
 namespace baobabcove {
 
@@ -13,8 +14,56 @@
                                      Label) != Worker.Labels.end());
 }
 
+/// Returns how many tasks of \p Unit fit on an otherwise empty worker.
+std::size_t placesOn(const PlanWorker &Worker, const PlanUnit &Unit) {
+  const Resources Need = resourcesOf(*Unit.Step);
+  const std::size_t Limit = Unit.Step->spread_limit() > 0
+                                ? Unit.Step->spread_limit()
+                                : Unit.Tasks.size();
+  Resources Left = Worker.Capacity;
+  std::size_t Places = 0;
+  while (Places < std::min(Limit, Unit.Tasks.size()) && Left.covers(Need)) {
+    Left -= Need;
+    ++Places;
+  }
+  return Places;
+}
+
+bool isNearData(const PlanWorker &Worker, const PlanUnit &Unit) {
+  const std::string &Rack = Unit.Step->data_rack();
+  return Rack.empty() || Worker.Rack == RackName(Rack);
+}
+
 } // namespace
 
+bool hasLocality(const PlanUnit &Unit) {
+  return !Unit.Step->data_rack().empty() || Unit.Step->same_rack();
+}
+
+bool canAnyRackHold(const std::vector<PlanWorker> &Workers,
+                    const PlanUnit &Unit) {
+  std::map<RackName, std::size_t> Places;
+  for (const PlanWorker &Worker : Workers) {
+    if (!(Worker.AcceptsTasks || Worker.IsQuarantined) ||
+        !isSuitable(Worker, Unit) || !isNearData(Worker, Unit))
+      continue;
+    std::size_t &OfRack = Places[Worker.Rack];
+    OfRack += placesOn(Worker, Unit);
+    if (OfRack >= Unit.Tasks.size())
+      return true;
+  }
+  return false;
+}
+
+bool waitsForQuarantine(const std::vector<PlanWorker> &Workers,
+                        const PlanUnit &Unit) {
+  return std::any_of(
+      Workers.begin(), Workers.end(), [&](const PlanWorker &Worker) {
+        return Worker.IsQuarantined && isSuitable(Worker, Unit) &&
+               isNearData(Worker, Unit) && placesOn(Worker, Unit) > 0;
+      });
+}
+
 bool isEligible(const PlanWorker &Worker, const PlanUnit &Unit) {
   return Worker.AcceptsTasks && isSuitable(Worker, Unit);
 }
@@ -44,17 +93,10 @@
                      const PlanUnit &Unit) {
   if (Unit.CrashNodes.empty())
     return false;
-  const Resources Need = resourcesOf(*Unit.Step);
   std::size_t Places = 0;
-  for (const PlanWorker &Worker : Workers) {
-    if (!isEligible(Worker, Unit) || hasCrashedOn(Unit, Worker))
-      continue;
-    Resources Left = Worker.Capacity;
-    for (std::size_t T = 0; T < Unit.Tasks.size() && Left.covers(Need); ++T) {
-      Left -= Need;
-      ++Places;
-    }
-  }
+  for (const PlanWorker &Worker : Workers)
+    if (isEligible(Worker, Unit) && !hasCrashedOn(Unit, Worker))
+      Places += placesOn(Worker, Unit);
   return Places >= Unit.Tasks.size();
 }
 
--- a/src/tasks/planning/PlacementRules.h
+++ b/src/tasks/planning/PlacementRules.h
@@ -18,6 +18,18 @@
 /// capacity for one of its tasks.
 bool hasWorkerFor(const std::vector<PlanWorker> &Workers, const PlanUnit &Unit);
 
+/// Whether \p Unit takes longer away from its data or on several racks.
+bool hasLocality(const PlanUnit &Unit);
+
+/// Whether all tasks of \p Unit fit on the workers of its rack, or of any rack
+/// if it may choose, once these run nothing else. Workers in quarantine count.
+bool canAnyRackHold(const std::vector<PlanWorker> &Workers,
+                    const PlanUnit &Unit);
+
+/// Whether a worker in quarantine may hold tasks of \p Unit near its data.
+bool waitsForQuarantine(const std::vector<PlanWorker> &Workers,
+                        const PlanUnit &Unit);
+
 /// Whether \p Unit may start beside the runs on \p Worker.
 bool mayJoin(const PlanWorker &Worker, const PlanUnit &Unit);
 
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -56,10 +56,7 @@
     for (const PlanUnit &Unit : In.Units) {
       if (FullSteps.count(Unit.StepKey))
         continue;
-      auto Placement = fitOn(Unit, Free, reservedFor(Unit));
-      if (!Placement)
-        Placement = findPlacement(Unit, Free, Unit.MayRunRemote);
-      if (Placement)
+      if (const auto Placement = placeNow(Unit))
         start(Unit, *Placement);
       else if (Unit.Guaranteed)
         reserveOrPreempt(Unit);
@@ -252,6 +249,48 @@
     return Best;
   }
 
+  std::optional<Assignment> placeNow(const PlanUnit &Unit) const {
+    auto Placement = fitOn(Unit, Free, reservedFor(Unit));
+    if (!Placement)
+      Placement = findPlacement(Unit, Free, Unit.MayRunRemote);
+    if (Placement || Unit.MayRunRemote || !hasLocality(Unit))
+      return Placement;
+    Placement = findPlacement(Unit, Free, true);
+    return Placement && shouldRunRemote(Unit) ? Placement : std::nullopt;
+  }
+
+  /// Whether \p Unit, which does not fit near its data or in one rack now, is
+  /// better off elsewhere than waiting.
+  bool shouldRunRemote(const PlanUnit &Unit) const {
+    if (!In.IsCellKnown)
+      return false;
+    if (!canAnyRackHold(In.Workers, Unit))
+      return true;
+    // In a mostly free cell the run that takes longer is in nobody's way.
+    if (Unit.IsIdleForLong && usedShare(In.Workers, Free) < BusyThreshold)
+      return true;
+    return !mayFitLocally(Unit, Unit.RemoteCost);
+  }
+
+  /// Whether \p Unit may fit near its data or in one rack within \p Limit. Runs
+  /// whose end is not known may end by then.
+  bool mayFitLocally(const PlanUnit &Unit, Milliseconds Limit) const {
+    // An isolated unit waits for a worker without runs, whatever they use.
+    if (Unit.Isolated || waitsForQuarantine(In.Workers, Unit))
+      return true;
+    ResourceList After = afterReleases();
+    std::vector<std::uint32_t> KnownEnds(After.size());
+    for (const EndingRun &Run : In.Ending) {
+      ++KnownEnds[Run.Worker];
+      if (Run.In <= Limit)
+        After[Run.Worker] += Run.Usage;
+    }
+    for (std::size_t W = 0; W < After.size(); ++W)
+      if (KnownEnds[W] < In.Workers[W].Runs)
+        After[W] = In.Workers[W].Capacity;
+    return findPlacement(Unit, After, false).has_value();
+  }
+
   /// Explains why units that asked for it were not placed. Called once all
   /// units have been planned, since it changes the workers.
   void explainWaits() {
--- a/src/tasks/planning/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -32,6 +32,8 @@
   /// Whether new tasks may be placed: the worker is reachable and neither
   /// draining nor quarantined.
   bool AcceptsTasks = true;
+  /// Whether it takes no new tasks because of a quarantine, which ends soon.
+  bool IsQuarantined = false;
   /// Whether the worker is cold and is used after the others.
   bool IsCold = false;
   /// How many more runs it may get now.
@@ -95,6 +97,10 @@
   bool Urgent = false;
   /// Whether it may run away from its data or across racks, which takes longer.
   bool MayRunRemote = false;
+  /// By how much a run there is expected to take longer.
+  Milliseconds RemoteCost = Milliseconds::max();
+  /// Whether it has waited for long with no task of its job placed.
+  bool IsIdleForLong = false;
   /// Whether runs may be preempted for it now.
   bool MayPreempt = false;
   /// How long it may still wait for runs that are expected to end, instead of
@@ -119,6 +125,9 @@
 /// A snapshot of the cell.
 struct PlanInput {
   std::vector<PlanWorker> Workers;
+  /// Whether all reachable workers have had the time to report. Until then a
+  /// rack may have more workers than are known.
+  bool IsCellKnown = true;
   std::vector<PreemptibleRun> Preemptible;
   std::vector<EndingRun> Ending;
   std::vector<PlanUnit> Units;
--- a/tests/tasks/coordination/StepWaitTest.cpp
+++ b/tests/tasks/coordination/StepWaitTest.cpp
@@ -105,3 +105,29 @@
   STRCMP_EQUAL("none", reasonAfter(Milliseconds(1500)).c_str());
   LONGS_EQUAL(0, Tracker.waitingSteps());
 }
+
+// Guards against a gang that waits for one rack although no rack can hold it:
+// its job had nothing running for twice the declared duration, in an idle cell.
+TEST(StepWait, StartsAGangThatNoRackCanHoldOnceTheCellIsKnown) {
+  const auto Spec = jobOf("a", 2, 8);
+  Spec->mutable_steps(0)->set_gang(true);
+  Spec->mutable_steps(0)->set_same_rack(true);
+  Tracker.addJob(Spec);
+  STRCMP_EQUAL("none", reasonAfter(Milliseconds(2000)).c_str());
+  CHECK_TRUE(Tracker.jobs().at(JobId("a")).hasPlacedTasks());
+}
+
+// Guards against a wait for a rack with little room while most of the cell is
+// free: a declared duration that is far too long made it last for minutes.
+TEST(StepWait, EndsTheWaitForTheDataInAnIdleCellBeforeThreeSeconds) {
+  const auto Filler = jobOf("b", 1, 8);
+  Filler->mutable_steps(0)->set_data_rack("r-n1");
+  Tracker.addJob(Filler);
+  Tracker.plan(Reports, Config, Now);
+  const auto Spec = jobOf("a", 1, 4);
+  Spec->mutable_steps(0)->set_data_rack("r-n1");
+  Tracker.addJob(Spec);
+  STRCMP_EQUAL("locality", reasonAfter(Milliseconds(1500)).c_str());
+  STRCMP_EQUAL("none", reasonAfter(Milliseconds(1500)).c_str());
+  CHECK_TRUE(Tracker.jobs().at(JobId("a")).hasPlacedTasks());
+}
--- a/tests/tasks/planning/TaskPlannerTest.cpp
+++ b/tests/tasks/planning/TaskPlannerTest.cpp
@@ -76,8 +76,12 @@
 }
 
 TEST(TaskPlanner, KeepsAGangInOneRackUntilItMayRunRemote) {
-  addWorker("w0", "r1");
-  addWorker("w1", "r2");
+  for (const char *Rack : {"r1", "r2"}) {
+    addWorker(std::string("free-") + Rack, Rack);
+    addWorker(std::string("full-") + Rack, Rack);
+    Input.Workers.back().Free = {};
+    Input.Workers.back().Runs = 1;
+  }
   addUnit("gang", 2, 8).set_same_rack(true);
   LONGS_EQUAL(0, planTasks(Input).Starts.size());
   Input.Units[0].MayRunRemote = true;
