--- a/tests/fault/UntrustedTaskClientTest.cpp
+++ b/tests/fault/UntrustedTaskClientTest.cpp
@@ -1,22 +1,15 @@
 #include "Attackers.h"
 #include "KvServer.h"
+#include "TaskDaemon.h"
 #include "WaitUntil.h"
 
 #include "base/HttpClient.h"
-#include "base/Text.h"
 
 #include <algorithm>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
-#include <csignal>
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 using namespace baobabcove;
 using namespace baobabcove::testing;
@@ -26,71 +19,11 @@
 constexpr std::size_t Attackers = 300;
 constexpr std::size_t AttackBytesPerSecond = std::size_t(100) << 20;
 constexpr double AttackSeconds = 0.5;
-/// Returns a loopback address of this test process alone, so that tests that
-/// run at the same time do not share the ports of their daemons. The first
-/// octet after 127 is \p Network plus the highest bits of the process id.
-std::string ownAddress(unsigned Network) {
-  const auto Id = static_cast<unsigned>(::getpid());
-  return "127." + std::to_string(Network + ((Id >> 16) & 31)) + "." +
-         std::to_string((Id >> 8) & 255) + "." + std::to_string(Id & 255);
-}
-
-// The daemons use ports below the range from which the kernel chooses.
 const std::string EntryIp = ownAddress(64);
 const std::string AgentIp = ownAddress(96);
 constexpr long EntryMemoryMb = 160;
 constexpr long AgentMemoryMb = 128;
 
-/// A task daemon with its settings in a temporary file.
-class TaskDaemon {
-public:
-  TaskDaemon(const std::string &Program, const std::string &Ip, long MemoryMb,
-             const std::string &Store)
-      : Path(std::filesystem::temp_directory_path() /
-             (Program + "-" + std::to_string(::getpid()))) {
-    std::ofstream(Path) << "node=n-" << Program << "\nzone=z\nip=" << Ip
-                        << "\nlisten.front=" << Ip
-                        << ":8080\nlisten.ready=" << Ip
-                        << ":8081\nlisten.control=" << Ip
-                        << ":8082\nport_range=8090,8099\nlimits.memory_mb="
-                        << MemoryMb << "\nplatform.address=" << Store << "\n";
-    Id = ::fork();
-    if (Id != 0)
-      return;
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::setenv("BAOBABCOVE_BOOT", Path.c_str(), 1);
-    const int Log =
-        ::open((Path + ".log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-    ::dup2(Log, STDOUT_FILENO);
-    ::dup2(Log, STDERR_FILENO);
-    ::close_range(STDERR_FILENO + 1, ~0U, 0);
-    const std::string File = std::string(PROGRAM_FOLDER) + "/" + Program;
-    ::execl(File.c_str(), File.c_str(), nullptr);
-    ::_exit(127);
-  }
-  TaskDaemon(const TaskDaemon &) = delete;
-  TaskDaemon &operator=(const TaskDaemon &) = delete;
-  ~TaskDaemon() {
-    ::kill(Id, SIGKILL);
-    ::waitpid(Id, nullptr, 0);
-    std::filesystem::remove(Path);
-    std::filesystem::remove(Path + ".log");
-  }
-
-  long status(const std::string &Name) const {
-    std::string Text;
-    (void)readFile("/proc/" + std::to_string(Id) + "/status", Text);
-    const std::size_t At = Text.find(Name + ":");
-    return At == std::string::npos
-               ? 0
-               : std::atol(Text.c_str() + At + Name.size() + 1);
-  }
-
-private:
-  const std::string Path;
-  pid_t Id = -1;
-};
-
 int statusOf(HttpClient &Client, const HttpCall &Call) {
   const auto Response = Client.call(Call);
   return Response ? Response->Status : 0;
--- a/tests/support/KvServer.cpp
+++ b/tests/support/KvServer.cpp
@@ -14,7 +14,12 @@
 namespace {
 
 constexpr Milliseconds WatchPoll{20};
+constexpr std::size_t DoorThreads = 16;
+/// Longer than the callers' timeouts of short calls.
+constexpr Milliseconds Silence{1500};
 constexpr int ConditionFailed = 412;
+constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
 
 std::string encode(const std::string &Bytes) {
   std::ostringstream Out;
@@ -40,11 +45,18 @@
 
 } // namespace
 
-KvServer::KvServer() {
-  auto Served =
-      serveHttp("127.0.0.1:0", HttpLimits(),
-                [this](const HttpRequest &Request) { return answer(Request); });
-  Server = std::move(*Served);
+KvServer::KvServer() { (void)openDoor(); }
+
+std::string KvServer::openDoor() {
+  Door &Opened = *Doors.emplace_back(std::make_unique<Door>());
+  HttpLimits Limits;
+  Limits.Threads = DoorThreads;
+  auto Served = serveHttp("127.0.0.1:0", Limits,
+                          [this, &Opened](const HttpRequest &Request) {
+                            return answerAt(Opened, Request);
+                          });
+  Opened.Server = std::move(*Served);
+  return Opened.Server->address();
 }
 
 void KvServer::put(const std::string &Key, const std::string &Value) {
@@ -62,13 +74,14 @@
 }
 
 void KvServer::write(const std::string &Key, const std::string &Encoded,
-                     bool Deleted) {
+                     bool Deleted, std::int64_t Lease) {
   Item &Written = Items[Key];
   if (Written.Created == 0 || Written.IsDeleted)
     Written.Created = Revision;
   Written.Value = Encoded;
   Written.Revision = Revision;
   Written.IsDeleted = Deleted;
+  Written.Lease = Lease;
 }
 
 KvServer::Object KvServer::row(const std::string &Key, const Item &From) const {
@@ -115,12 +128,18 @@
     Body.set("items", Current);
     return jsonResponse(Body, ConditionFailed);
   }
-  ++Revision;
   const auto Writes = Change->getArray("set_keys");
+  for (std::size_t I = 0; I < Writes->size(); ++I)
+    if (const auto Lease =
+            Writes->getObject(unsigned(I))->optValue<std::int64_t>("lease", 0);
+        Lease && !Leases.count(Lease))
+      return jsonResponse(Body, NotFound);
+  ++Revision;
   for (std::size_t I = 0; I < Writes->size(); ++I) {
     const Object Row = Writes->getObject(unsigned(I));
     write(Row->getValue<std::string>("key"),
-          Row->getValue<std::string>("value"), false);
+          Row->getValue<std::string>("value"), false,
+          Row->optValue<std::int64_t>("lease", 0));
   }
   const auto Removals = Change->getArray("remove");
   for (std::size_t I = 0; I < Removals->size(); ++I)
@@ -129,6 +148,64 @@
   return jsonResponse(Body);
 }
 
+void KvServer::endLease(std::int64_t Id) {
+  Leases.erase(Id);
+  for (auto &[Key, Each] : Items)
+    if (Each.Lease == Id && !Each.IsDeleted) {
+      ++Revision;
+      write(Key, "", true);
+    }
+}
+
+void KvServer::expireLeases() {
+  const Instant Now = monotonicNow();
+  std::vector<std::int64_t> Expired;
+  for (const auto &[Id, Each] : Leases)
+    if (Each.Until < Now)
+      Expired.push_back(Id);
+  for (std::int64_t Id : Expired)
+    endLease(Id);
+}
+
+HttpResponse KvServer::answerAt(const Door &At, const HttpRequest &Request) {
+  const Fault Seen = At.Seen;
+  if (Seen == Fault::Refuses)
+    return jsonResponse(Poco::JSON::Object(), Unavailable);
+  HttpResponse Response;
+  if (Seen != Fault::Silent)
+    Response = answer(Request);
+  if (Seen != Fault::None) {
+    std::this_thread::sleep_for(Silence);
+    return jsonResponse(Poco::JSON::Object(), Unavailable);
+  }
+  return Response;
+}
+
+HttpResponse KvServer::answerLease(const HttpRequest &Request) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  expireLeases();
+  Poco::JSON::Object Body;
+  const std::int64_t Id =
+      numberOf(Request.Path.substr(Request.Path.rfind('/') + 1));
+  if (Request.Path == "/-/kv-lease") {
+    const auto Asked = Poco::JSON::Parser().parse(Request.Body);
+    const auto TtlMs =
+        Asked.extract<Object>()->optValue<std::int64_t>("ttl_ms", 1000);
+    Leases[NextLease] = {TtlMs, monotonicNow() + Milliseconds(TtlMs)};
+    Body.set("ttl_ms", TtlMs);
+    Body.set("lease", NextLease++);
+    return jsonResponse(Body);
+  }
+  const auto Known = Leases.find(Id);
+  if (Known == Leases.end())
+    return jsonResponse(Body, NotFound);
+  if (Request.Path.rfind("/-/kv-keep/", 0) == 0)
+    Known->second.Until = monotonicNow() + Milliseconds(Known->second.TtlMs);
+  else
+    endLease(Id);
+  return jsonResponse(Body);
+}
+
 HttpResponse KvServer::answer(const HttpRequest &Request) {
   Poco::JSON::Object Body;
   if (Request.Path == "/-/kv-txn")
@@ -142,6 +219,7 @@
     for (bool Changed = false; !Changed && monotonicNow() < End;) {
       std::this_thread::sleep_for(WatchPoll);
       const std::lock_guard<std::mutex> Lock(Mutex);
+      expireLeases();
       Changed = Revision > After;
     }
     return list(Request.query("prefix"), After, "events", true);
@@ -153,10 +231,9 @@
       return jsonResponse(Body, 404);
     return jsonResponse(*row(Found->first, Found->second));
   }
-  if (Request.Path == "/-/kv-lease") {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    Body.set("lease", NextLease++);
-  }
+  if (Request.Path.rfind("/-/kv-lease", 0) == 0 ||
+      Request.Path.rfind("/-/kv-keep/", 0) == 0)
+    return answerLease(Request);
   return jsonResponse(Body);
 }
 
--- a/tests/support/KvServer.h
+++ b/tests/support/KvServer.h
@@ -1,25 +1,43 @@
 #ifndef BAOBABCOVE_TESTS_SUPPORT_KVSERVER_H
 #define BAOBABCOVE_TESTS_SUPPORT_KVSERVER_H
 
+#include "baobabcove/Clock.h"
 #include "http/HttpServer.h"
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include <Poco/JSON/Object.h>
 
 namespace baobabcove::testing {
 
 /// A stand-in of the platform's store that serves its HTTP API from memory, for
-/// tests with processes of the task daemons. Leases do not expire.
+/// tests with processes of the task daemons.
 class KvServer {
 public:
+  /// What a client of the store sees.
+  enum class Fault {
+    None,
+    /// Calls are refused with 503 and do nothing.
+    Refuses,
+    /// Calls do nothing and are not answered in time.
+    Silent,
+    /// Calls are carried out and not answered in time.
+    AnswersLost
+  };
+
   KvServer();
 
-  std::string address() const { return Server->address(); }
+  std::string address() const { return Doors.front()->Server->address(); }
+  /// Opens an address of its own for one client, whose number is one less than
+  /// the number of addresses. Not thread-safe.
+  std::string openDoor();
+  void setFault(std::size_t Door, Fault Next) { Doors[Door]->Seen = Next; }
   /// Writes a key as an operator does. \p Value is not encoded.
   void put(const std::string &Key, const std::string &Value);
   /// Returns the number of keys that begin with \p Prefix.
@@ -32,22 +50,40 @@
     std::int64_t Revision = 0;
     std::int64_t Created = 0;
     bool IsDeleted = false;
+    /// Zero for a key without a lease.
+    std::int64_t Lease = 0;
+  };
+  struct Lease {
+    std::int64_t TtlMs = 0;
+    Instant Until{};
+  };
+  struct Door {
+    std::atomic<Fault> Seen{Fault::None};
+    std::unique_ptr<HttpServer> Server;
   };
   using Object = Poco::JSON::Object::Ptr;
 
+  HttpResponse answerAt(const Door &At, const HttpRequest &Request);
   HttpResponse answer(const HttpRequest &Request);
+  HttpResponse answerLease(const HttpRequest &Request);
+  /// Removes the keys of a lease and the lease. The mutex must be locked, so
+  /// for the next two.
+  void endLease(std::int64_t Id);
+  void expireLeases();
   HttpResponse commit(const Object &Change);
   /// Lists the items of a prefix that changed after a revision.
   HttpResponse list(const std::string &Prefix, std::int64_t After,
                     const char *Name, bool WithDeleted) const;
   Object row(const std::string &Key, const Item &From) const;
-  void write(const std::string &Key, const std::string &Encoded, bool Deleted);
+  void write(const std::string &Key, const std::string &Encoded, bool Deleted,
+             std::int64_t Lease = 0);
 
   mutable std::mutex Mutex;
   std::map<std::string, Item> Items;
   std::int64_t Revision = 1;
   std::int64_t NextLease = 1;
-  std::unique_ptr<HttpServer> Server;
+  std::map<std::int64_t, Lease> Leases;
+  std::vector<std::unique_ptr<Door>> Doors;
 };
 
 } // namespace baobabcove::testing
