--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -114,11 +114,19 @@
       : System(System), Random(Seed), Processes(ProcessMutex),
         Thread([this] { run(); }) {}
 
-  void join() {
-    Stopping = true;
+  ~FaultSeries() {
+    Ended = true;
     Thread.join();
   }
 
+  /// Ends the series and waits until its last fault is healed. The thread stays
+  /// until the destructor, since the processes that it started end with it.
+  void finish() {
+    Stopping = true;
+    while (!Healed)
+      std::this_thread::sleep_for(Milliseconds(10));
+  }
+
 private:
   using Step = void (FaultSeries::*)();
 
@@ -136,6 +144,9 @@
       (this->*Steps[Random.below(std::size(Steps))])();
       System.Fleet->noteFault();
     }
+    Healed = true;
+    while (!Ended)
+      std::this_thread::sleep_for(Milliseconds(10));
   }
 
   void sleep(int Ms) {
@@ -222,6 +233,8 @@
   /// Held while a process is replaced, so that two series never replace one.
   std::mutex &Processes;
   std::atomic<bool> Stopping{false};
+  std::atomic<bool> Healed{false};
+  std::atomic<bool> Ended{false};
   std::thread Thread;
 };
 
@@ -338,7 +351,7 @@
   };
   SubmitFor(std::chrono::seconds(Seconds), 500);
   for (const auto &Each : Faults)
-    Each->join();
+    Each->finish();
   // What the faults leave behind must not hold back later jobs. Fewer of them
   // leave room, so that none has to wait.
   SubmitFor(CalmTime, 1500);
