--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -305,8 +305,7 @@
   return respond(Body);
 }
 
-void WorkerFleet::end(Worker &At, const std::string &Task,
-                      const std::string &How) {
+void WorkerFleet::end(Worker &At, std::string Task, const std::string &How) {
   const auto Here = At.Running.find(Task);
   const std::uint64_t Number = Here->second.Number;
   const bool IsGang = Here->second.GangSize > 1;
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -116,7 +116,8 @@
     std::unique_ptr<HttpClient> Agent;
   };
   struct Accepted {
-    FleetJob Job;
+    /// Has no tasks until the job was accepted.
+    FleetJob Job{0};
     std::set<std::string> Done;
     std::size_t Failures = 0;
     Instant IdleSince{};
@@ -130,7 +131,8 @@
   HttpResponse hold(Worker &At, const Object &Order,
                     std::unique_lock<std::mutex> &Lock);
   Object reply(const Worker &At) const;
-  void end(Worker &At, const std::string &Task, const std::string &How);
+  /// \p Task may name a run that this removes, so that it is copied.
+  void end(Worker &At, std::string Task, const std::string &How);
   void endAll(Worker &At, const std::string &How);
   void endGang(const std::string &Step, std::uint64_t Number,
                const std::string &How);
