--- a/tests/support/KvServer.cpp
+++ b/tests/support/KvServer.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr Milliseconds WatchPoll{20};
-constexpr std::size_t DoorThreads = 16;
+constexpr std::size_t DoorThreads = 8;
 /// Longer than the callers' timeouts of short calls.
 constexpr Milliseconds Silence{1500};
 constexpr int ConditionFailed = 412;
