Copy the planner's workers only for a unit whose wait is explained

The copy was made in each round. The reasons now stand in the order in which their constraints are lifted, and nodes that a unit avoids count as excluded workers. Which units are placed does not change.

--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -255,6 +255,7 @@
   void noteWaitingStep(const TaskJob &Job, std::size_t First,
                        const ClockReading &Now, std::size_t FirstUnit,
                        PlanInput &Input);
+  /// Selects the steps whose waits are explained in this round, if any.
   void beginWaits(const ClockReading &Now);
   /// Forgets the steps that do not wait any more, and logs why others do.
   void explainWaits(const TaskPlan &Plan);
--- a/src/tasks/planning/TaskPlanner.cpp
+++ b/src/tasks/planning/TaskPlanner.cpp
@@ -249,6 +249,9 @@
     return Best;
   }
 
+  /// Finds a placement for \p Unit on what is free: where an earlier round
+  /// reserved it, near its data or in one rack, or elsewhere if that is better
+  /// than waiting.
   std::optional<Assignment> placeNow(const PlanUnit &Unit) const {
     auto Placement = fitOn(Unit, Free, reservedFor(Unit));
     if (!Placement)
@@ -291,18 +294,18 @@
     return findPlacement(Unit, After, false).has_value();
   }
 
-  /// Explains why units that asked for it were not placed. Called once all
-  /// units have been planned, since it changes the workers.
+  /// Explains why units that asked for it were not placed.
   void explainWaits() {
-    const std::vector<PlanWorker> Workers = In.Workers;
     for (const PlanUnit &Unit : In.Units)
       if (Unit.ExplainsWait) {
+        std::vector<PlanWorker> Workers = In.Workers;
         Out.Waits.emplace(Unit.StepKey, waitReason(Unit));
-        In.Workers = Workers;
+        In.Workers = std::move(Workers);
       }
   }
 
-  /// Returns the first constraint without which \p Unit would fit.
+  /// Lifts one constraint after the other and returns the one without which
+  /// \p Unit fits. Changes the workers.
   WaitReason waitReason(const PlanUnit &Unit) {
     const auto Fits = [&](const PlanUnit &Relaxed, bool Remote) {
       return findPlacement(Relaxed, Free, Remote).has_value();
@@ -324,6 +327,7 @@
       Worker.HasSuspect = false;
     if (Fits(Relaxed, true))
       return WaitReason::Isolation;
+    Relaxed.AvoidedNodes.clear();
     for (PlanWorker &Worker : In.Workers)
       Worker.AcceptsTasks = true;
     return Fits(Relaxed, true) ? WaitReason::ExcludedWorkers
--- a/src/tasks/planning/WaitReason.h
+++ b/src/tasks/planning/WaitReason.h
@@ -13,29 +13,29 @@
 namespace baobabcove {
 
 /// What keeps a unit from being placed. Each reason but the first two and the
-/// last one means that the unit would fit without it.
+/// last one means that the unit would fit without it and those before it.
 enum class WaitReason {
   /// Members of its gang are still being stopped, or it waits after a refusal.
   NotReady,
   /// No reachable worker of its service has its label and can ever hold it.
   NoWorker,
-  /// Workers are draining, quarantined or closed.
-  ExcludedWorkers,
-  /// It fits, but not near its data or within one rack.
-  Locality,
   /// Workers are left fully free for urgent jobs.
   Reserve,
-  /// It, or a unit on the workers, is isolated because of crashes.
-  Isolation,
+  /// It fits, but not near its data or within one rack.
+  Locality,
   /// Cold workers take no more starts now.
   ColdLimit,
+  /// It, or a unit on the workers, is isolated because of crashes.
+  Isolation,
+  /// Workers are draining, quarantined, closed or avoided.
+  ExcludedWorkers,
   NoCapacity,
 };
 
 /// The names of all reasons, in their order.
 constexpr std::array<const char *, 8> WaitReasonNames = {
-    "not_ready", "no_worker", "excluded_workers", "locality",
-    "reserve",   "isolation", "cold_limit",       "no_capacity"};
+    "not_ready",  "no_worker", "reserve",          "locality",
+    "cold_limit", "isolation", "excluded_workers", "no_capacity"};
 
 inline const char *nameOf(WaitReason Reason) {
   return WaitReasonNames[static_cast<std::size_t>(Reason)];
