--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -8,6 +8,7 @@
 
 #include "base/HttpClient.h"
 
+#include <cinttypes>
 #include <cstdio>
 #include <fstream>
 #include <random>
@@ -257,8 +258,7 @@
     Job.IsGang = Random.oneIn(2);
     Job.InOneRack = Job.IsGang && Random.oneIn(2);
     // Some gangs have more tasks than one rack holds.
-    const int Most = 2 * int(WorkerFleet::WorkersPerRack);
-    Job.Tasks = std::size_t(1 + Random.upTo(Most));
+    Job.Tasks = 1 + Random.below(2 * WorkerFleet::WorkersPerRack + 1);
     return Job;
   }
 
@@ -267,8 +267,8 @@
   bool submit(const FleetJob &Job) {
     constexpr int Attempts = 5;
     char Id[17];
-    std::snprintf(Id, sizeof(Id), "%016llx",
-                  static_cast<unsigned long long>(FirstJob + ++Submitted));
+    const std::uint64_t Number = FirstJob + ++Submitted;
+    std::snprintf(Id, sizeof(Id), "%016" PRIx64, Number);
     const std::string Body = Job.body();
     for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
       const auto Answer = Clients[Random.below(Clients.size())]->call(
--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -299,11 +299,12 @@
   return respond(Body);
 }
 
-void WorkerFleet::end(Worker &At, std::string Task, const std::string &How) {
-  const auto Here = At.Running.find(Task);
-  const std::uint64_t Number = Here->second.Number;
-  const bool IsGang = Here->second.GangSize > 1;
-  At.Running.erase(Here);
+void WorkerFleet::end(Worker &At, const std::string &Task,
+                      const std::string &How) {
+  // Task may be the key of the run, which stays valid with the extracted node.
+  const auto Ended = At.Running.extract(Task);
+  const std::uint64_t Number = Ended.mapped().Number;
+  const bool IsGang = Ended.mapped().GangSize > 1;
   At.Ends.push_back({++At.LastEnd, Task, Number, How});
   std::uint64_t &Bar = At.Barred[Task];
   Bar = std::max(Bar, Number);
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -128,8 +128,7 @@
   HttpResponse hold(Worker &At, const Object &Order,
                     std::unique_lock<std::mutex> &Lock);
   Object reply(const Worker &At) const;
-  /// \p Task may name a run that this removes, so that it is copied.
-  void end(Worker &At, std::string Task, const std::string &How);
+  void end(Worker &At, const std::string &Task, const std::string &How);
   void endAll(Worker &At, const std::string &How);
   void endGang(const std::string &Step, std::uint64_t Number,
                const std::string &How);
