--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -2,15 +2,10 @@
 // single tasks and of gangs in one rack, and overlapping random faults. The
 // same seed selects the same series of faults.
 
-#include "KvServer.h"
-#include "TaskDaemon.h"
-#include "WorkerFleet.h"
-
-#include "base/HttpClient.h"
+#include "TaskDeployment.h"
 
 #include <cinttypes>
 #include <cstdio>
-#include <fstream>
 #include <random>
 
 #include <CppUTest/TestHarness.h>
@@ -20,16 +15,12 @@
 
 namespace {
 
-constexpr long EntryMemoryMb = 160;
-constexpr long AgentMemoryMb = 128;
 /// All accepted jobs end within this time after the last one. The users allow
 /// 14 s and the time of the work; the longest runs away from their rack take
 /// 8 s, and a job may wait for others.
 constexpr Milliseconds FinishTimeout{45000};
 /// Jobs are submitted for this long after the last fault.
 constexpr std::chrono::seconds CalmTime{10};
-/// More than a task needs while five of six workers are sound.
-constexpr int MaxAttempts = 20;
 constexpr std::uint64_t FirstJob = 0x1000000000000000;
 
 int environmentNumber(const char *Name, int Default) {
@@ -37,24 +28,6 @@
   return Text ? std::atoi(Text) : Default;
 }
 
-std::string configText() {
-  return R"({"version":1,"routes":[{"name":"q","host":"jobs.example",
-    "prefix":"/queue/","service":"planner","allow_anonymous":true,
-    "priority":1,"stretch":3.0,"target_latency_ms":1200,"max_attempts":)" +
-         std::to_string(MaxAttempts) + "}]}";
-}
-
-HttpCall jobCall(const std::string &Method, const std::string &Id,
-                 const std::string &Body = "") {
-  HttpCall Call;
-  Call.Method = Method;
-  Call.Path = "/queue/" + Id;
-  Call.Body = Body;
-  Call.Headers["Host"] = "jobs.example";
-  Call.Timeout = Milliseconds(3000);
-  return Call;
-}
-
 /// Random numbers of one thread of the soak.
 class Dice {
 public:
@@ -71,48 +44,11 @@
   std::mt19937 Engine;
 };
 
-/// The processes of the soak.
-class Deployment {
-public:
-  Deployment(std::size_t EntryCount, std::size_t AgentCount) {
-    Store.put("op/config", configText());
-    // The last byte of the process id selects the third of the address, and the
-    // process the last.
-    const auto AddressOf = [&](unsigned Network, std::size_t N) {
-      const std::string Own = ownAddress(Network);
-      const std::size_t Second = Own.find('.', 4);
-      const std::string Id = Own.substr(Own.rfind('.') + 1);
-      return Own.substr(0, Second) + "." + Id + "." + std::to_string(N + 1);
-    };
-    std::vector<std::string> WorkerIps;
-    for (std::size_t N = 0; N < AgentCount; ++N) {
-      WorkerIps.push_back(AddressOf(160, N));
-      Agents.push_back(std::make_unique<TaskDaemon>(
-          "baobabcove-task-agent", WorkerIps.back(), AgentMemoryMb,
-          Store.openDoor(), "limits.cpu_share=0.15\n"));
-    }
-    for (std::size_t N = 0; N < EntryCount; ++N) {
-      FirstEntryDoor = AgentCount + 1;
-      Entries.push_back(std::make_unique<TaskDaemon>(
-          "baobabcove-task-entry", AddressOf(128, N), EntryMemoryMb,
-          Store.openDoor(),
-          N % 3 ? "limits.cpu_share=0.12\n" : "limits.cpu_share=0.5\n"));
-    }
-    Fleet = std::make_unique<WorkerFleet>(WorkerIps);
-  }
-
-  KvServer Store;
-  std::vector<std::unique_ptr<TaskDaemon>> Agents;
-  std::vector<std::unique_ptr<TaskDaemon>> Entries;
-  std::unique_ptr<WorkerFleet> Fleet;
-  std::size_t FirstEntryDoor = 0;
-};
-
 /// One series of faults, each of which it heals before the next. Several of
 /// them overlap.
 class FaultSeries {
 public:
-  FaultSeries(Deployment &System, unsigned Seed, std::mutex &ProcessMutex)
+  FaultSeries(TaskDeployment &System, unsigned Seed, std::mutex &ProcessMutex)
       : System(System), Random(Seed), Processes(ProcessMutex),
         Thread([this] { run(); }) {}
 
@@ -230,7 +166,7 @@
     sleep(1000);
   }
 
-  Deployment &System;
+  TaskDeployment &System;
   Dice Random;
   /// Held while a process is replaced, so that two series never replace one.
   std::mutex &Processes;
@@ -243,7 +179,8 @@
 /// Submits jobs through all entries over connections that stay open.
 class Submitter {
 public:
-  Submitter(Deployment &System, unsigned Seed) : System(System), Random(Seed) {
+  Submitter(TaskDeployment &System, unsigned Seed)
+      : System(System), Random(Seed) {
     for (const auto &Entry : System.Entries)
       Clients.push_back(std::make_unique<HttpClient>(Entry->ip() + ":8080"));
   }
@@ -297,7 +234,7 @@
   std::vector<std::string> Accepted;
 
 private:
-  Deployment &System;
+  TaskDeployment &System;
   Dice Random;
   std::vector<std::unique_ptr<HttpClient>> Clients;
   std::uint64_t Submitted = 0;
@@ -311,19 +248,6 @@
   return Holds();
 }
 
-/// Copies the logs of all processes to the folder in TASK_SOAK_LOGS, if set.
-void keepLogs(const Deployment &System, const std::string &Name) {
-  const char *Folder = std::getenv("TASK_SOAK_LOGS");
-  if (!Folder)
-    return;
-  for (const auto *Kind : {&System.Entries, &System.Agents})
-    for (const auto &Each : *Kind) {
-      std::ifstream From(Each->logPath());
-      std::ofstream(std::string(Folder) + "/" + Name + "-" + Each->ip())
-          << From.rdbuf();
-    }
-}
-
 } // namespace
 
 TEST_GROUP(TaskSoak){};
@@ -334,8 +258,8 @@
 TEST(TaskSoak, RunsEveryAcceptedJobAfterRandomFaults) {
   const int Seed = environmentNumber("TASK_SOAK_SEED", 1);
   const int Seconds = environmentNumber("TASK_SOAK_SECONDS", 20);
-  Deployment System(std::size_t(environmentNumber("TASK_SOAK_ENTRIES", 4)),
-                    std::size_t(environmentNumber("TASK_SOAK_AGENTS", 40)));
+  TaskDeployment System(std::size_t(environmentNumber("TASK_SOAK_ENTRIES", 4)),
+                        std::size_t(environmentNumber("TASK_SOAK_AGENTS", 40)));
   Submitter Client(System, unsigned(Seed));
   CHECK_TRUE(
       waitFor([&] { return Client.submit(FleetJob()); }, Milliseconds(20000)));
--- /dev/null
+++ b/tests/support/TaskDeployment.cpp
@@ -0,0 +1,74 @@
+#include "TaskDeployment.h"
+
+#include <cstdlib>
+#include <fstream>
+
+namespace baobabcove::testing {
+
+namespace {
+
+constexpr long EntryMemoryMb = 160;
+constexpr long AgentMemoryMb = 128;
+constexpr unsigned AgentNetwork = 160;
+constexpr unsigned EntryNetwork = 128;
+
+std::string configText() {
+  return R"({"version":1,"routes":[{"name":"q","host":"jobs.example",
+    "prefix":"/queue/","service":"planner","allow_anonymous":true,
+    "priority":1,"stretch":3.0,"target_latency_ms":1200,"max_attempts":)" +
+         std::to_string(MaxTaskAttempts) + "}]}";
+}
+
+/// Returns the address of process \p N of a kind. The last byte of the test's
+/// process id selects the third octet, and the process the last.
+std::string addressOf(unsigned Network, std::size_t N) {
+  const std::string Own = ownAddress(Network);
+  const std::size_t Second = Own.find('.', 4);
+  const std::string Id = Own.substr(Own.rfind('.') + 1);
+  return Own.substr(0, Second) + "." + Id + "." + std::to_string(N + 1);
+}
+
+} // namespace
+
+HttpCall jobCall(const std::string &Method, const std::string &Id,
+                 const std::string &Body) {
+  HttpCall Call;
+  Call.Method = Method;
+  Call.Path = "/queue/" + Id;
+  Call.Body = Body;
+  Call.Headers["Host"] = "jobs.example";
+  Call.Timeout = Milliseconds(3000);
+  return Call;
+}
+
+TaskDeployment::TaskDeployment(std::size_t EntryCount, std::size_t AgentCount) {
+  Store.put("op/config", configText());
+  std::vector<std::string> WorkerIps;
+  for (std::size_t N = 0; N < AgentCount; ++N) {
+    WorkerIps.push_back(addressOf(AgentNetwork, N));
+    Agents.push_back(std::make_unique<TaskDaemon>(
+        "baobabcove-task-agent", WorkerIps.back(), AgentMemoryMb,
+        Store.openDoor(), "limits.cpu_share=0.15\n"));
+  }
+  FirstEntryDoor = AgentCount + 1;
+  for (std::size_t N = 0; N < EntryCount; ++N)
+    Entries.push_back(std::make_unique<TaskDaemon>(
+        "baobabcove-task-entry", addressOf(EntryNetwork, N), EntryMemoryMb,
+        Store.openDoor(),
+        N % 3 ? "limits.cpu_share=0.12\n" : "limits.cpu_share=0.5\n"));
+  Fleet = std::make_unique<WorkerFleet>(WorkerIps);
+}
+
+void keepLogs(const TaskDeployment &System, const std::string &Name) {
+  const char *Folder = std::getenv("TASK_SOAK_LOGS");
+  if (!Folder)
+    return;
+  for (const auto *Kind : {&System.Entries, &System.Agents})
+    for (const auto &Each : *Kind) {
+      std::ifstream From(Each->logPath());
+      std::ofstream(std::string(Folder) + "/" + Name + "-" + Each->ip())
+          << From.rdbuf();
+    }
+}
+
+} // namespace baobabcove::testing
--- /dev/null
+++ b/tests/support/TaskDeployment.h
@@ -0,0 +1,42 @@
+#ifndef BAOBABCOVE_TESTS_SUPPORT_TASKDEPLOYMENT_H
+#define BAOBABCOVE_TESTS_SUPPORT_TASKDEPLOYMENT_H
+
+#include "KvServer.h"
+#include "TaskDaemon.h"
+#include "WorkerFleet.h"
+
+#include "base/HttpClient.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace baobabcove::testing {
+
+/// More attempts than a task needs while most workers are sound.
+constexpr int MaxTaskAttempts = 20;
+
+/// Returns a call of \p Method to the job \p Id in the queue of TaskDeployment.
+HttpCall jobCall(const std::string &Method, const std::string &Id,
+                 const std::string &Body = "");
+
+/// Entries and agents as real processes, with a store and a worker beside each
+/// agent. The entries serve one queue.
+class TaskDeployment {
+public:
+  TaskDeployment(std::size_t EntryCount, std::size_t AgentCount);
+
+  KvServer Store;
+  std::vector<std::unique_ptr<TaskDaemon>> Agents;
+  std::vector<std::unique_ptr<TaskDaemon>> Entries;
+  std::unique_ptr<WorkerFleet> Fleet;
+  /// Number of the first entry's address at the store.
+  std::size_t FirstEntryDoor = 0;
+};
+
+/// Copies the logs of all processes to the folder in TASK_SOAK_LOGS, if set.
+void keepLogs(const TaskDeployment &System, const std::string &Name);
+
+} // namespace baobabcove::testing
+
+#endif // BAOBABCOVE_TESTS_SUPPORT_TASKDEPLOYMENT_H
--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -25,6 +25,7 @@
 constexpr Milliseconds MaxIdleWait{3000};
 constexpr Milliseconds CalmAfter{4000};
 constexpr int Conflict = 409;
+const std::string InstancesPath = "/-/instances/";
 
 std::string textOf(const Poco::JSON::Object &Body) {
   std::ostringstream Out;
@@ -140,6 +141,60 @@
   Changed.notify_all();
 }
 
+void WorkerFleet::restartUnderItsId(std::size_t Which) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Worker &At = *Workers[Which];
+  const std::string Id = At.Id;
+  At.Running.clear();
+  beBorn(At);
+  At.Id = Id;
+  Changed.notify_all();
+}
+
+int WorkerFleet::sendChangedHeartbeat(std::size_t Which,
+                                      const HeartbeatChange &Change) {
+  HttpCall Call;
+  Call.Method = "PUT";
+  Call.Timeout = HeartbeatTimeout;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    std::string Id = Workers[Which]->Id;
+    Object Body = heartbeat(*Workers[Which]);
+    Change(Id, *Body);
+    Call.Path = InstancesPath + Id;
+    Call.Body = textOf(*Body);
+  }
+  const auto Answer = Workers[Which]->Agent->call(Call);
+  return Answer ? Answer->Status : 0;
+}
+
+void WorkerFleet::announceEnd(std::size_t Which, const std::string &Id) {
+  HttpCall Call;
+  Call.Method = "DELETE";
+  Call.Path = InstancesPath + Id;
+  Call.Timeout = HeartbeatTimeout;
+  (void)Workers[Which]->Agent->call(Call);
+}
+
+std::string WorkerFleet::idOf(std::size_t Which) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Workers[Which]->Id;
+}
+
+std::size_t WorkerFleet::workerOf(const std::string &Task) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Holder =
+      std::find_if(Workers.begin(), Workers.end(),
+                   [&](const auto &At) { return At->Running.count(Task) > 0; });
+  return std::size_t(Holder - Workers.begin());
+}
+
+std::size_t WorkerFleet::startsOf(const std::string &Task) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Known = Starts.find(Task);
+  return Known == Starts.end() ? 0 : Known->second;
+}
+
 void WorkerFleet::noteAccepted(const std::string &Id, const FleetJob &Job) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Jobs[Id].Job = Job;
@@ -246,6 +301,7 @@
   if (AcknowledgedDone.count(Task))
     report("TWICE: " + Task + " starts again after its end was acknowledged");
   At.Running[Task] = Next;
+  ++Starts[Task];
   return respond(reply(At));
 }
 
@@ -438,6 +494,28 @@
   }
 }
 
+WorkerFleet::Object WorkerFleet::heartbeat(Worker &At) const {
+  Poco::JSON::Object::Ptr Capacity = new Poco::JSON::Object;
+  Capacity->set("cpu", MilliCores);
+  Capacity->set("mem_mb", MemoryMb);
+  Capacity->set("gpu", Accelerators);
+  Poco::JSON::Array::Ptr Labels = new Poco::JSON::Array;
+  Labels->add("a");
+  Labels->add(At.Rack);
+  Object Body = reply(At);
+  Body->set("service", "planner");
+  Body->set("address", At.Ip + Port);
+  Body->set("zone", "z");
+  Body->set("version", "v1");
+  Body->set("slots", Accelerators);
+  Body->set("state", "ready");
+  Body->set("cold_remaining_ms", 0);
+  Body->set("capacity", Capacity);
+  Body->set("labels", Labels);
+  Body->set("sequence", ++At.Sequence);
+  return Body;
+}
+
 void WorkerFleet::sendHeartbeats(std::size_t From, std::size_t To) {
   const Instant Next = monotonicNow() + HeartbeatPeriod;
   for (std::size_t W = From; W < To; ++W) {
@@ -447,27 +525,9 @@
       Worker &At = *Workers[W];
       if (!At.IsUp)
         continue;
-      Poco::JSON::Object::Ptr Capacity = new Poco::JSON::Object;
-      Capacity->set("cpu", MilliCores);
-      Capacity->set("mem_mb", MemoryMb);
-      Capacity->set("gpu", Accelerators);
-      Poco::JSON::Array::Ptr Labels = new Poco::JSON::Array;
-      Labels->add("a");
-      Labels->add(At.Rack);
-      Object Body = reply(At);
-      Body->set("service", "planner");
-      Body->set("address", At.Ip + Port);
-      Body->set("zone", "z");
-      Body->set("version", "v1");
-      Body->set("slots", Accelerators);
-      Body->set("state", "ready");
-      Body->set("cold_remaining_ms", 0);
-      Body->set("capacity", Capacity);
-      Body->set("labels", Labels);
-      Body->set("sequence", ++At.Sequence);
       Call.Method = "PUT";
-      Call.Path = "/-/instances/" + At.Id;
-      Call.Body = textOf(*Body);
+      Call.Path = InstancesPath + At.Id;
+      Call.Body = textOf(*heartbeat(At));
     }
     Call.Timeout = HeartbeatTimeout;
     (void)Workers[W]->Agent->call(Call);
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -65,6 +66,25 @@
   /// Ends a worker with all its runs. It comes back empty after \p Down.
   void crash(std::size_t Worker, Milliseconds Down);
 
+  /// Starts a worker again at once, without runs and under the id that it had.
+  void restartUnderItsId(std::size_t Worker);
+
+  /// Changes the id and the body of a heartbeat.
+  using HeartbeatChange =
+      std::function<void(std::string &Id, Poco::JSON::Object &Body)>;
+  /// Sends a changed heartbeat of a worker to its agent, as another writer or
+  /// an earlier incarnation would. Returns the status of the answer; zero
+  /// without one.
+  int sendChangedHeartbeat(std::size_t Worker, const HeartbeatChange &Change);
+  /// Announces to the worker's agent that the instance \p Id terminates.
+  void announceEnd(std::size_t Worker, const std::string &Id);
+  std::string idOf(std::size_t Worker) const;
+
+  /// Returns the worker that runs a task, or size().
+  std::size_t workerOf(const std::string &Task) const;
+  /// Number of times that a task was started.
+  std::size_t startsOf(const std::string &Task) const;
+
   /// Tells that a job was accepted, from which time it must not wait in vain.
   void noteAccepted(const std::string &Id, const FleetJob &Job);
   /// Tells that a fault begins or ends; waits count only in calm.
@@ -141,6 +161,8 @@
   void checkWaits();
   bool isRoomTwiceOver(const FleetJob &Job) const;
   bool isHalfUsed() const;
+  /// Returns the next heartbeat of a worker.
+  Object heartbeat(Worker &At) const;
   void sendHeartbeats(std::size_t From, std::size_t To);
   void report(const std::string &Violation);
 
@@ -149,6 +171,7 @@
   std::atomic<bool> Stopping{false};
   std::vector<std::unique_ptr<Worker>> Workers;
   std::map<std::string, Accepted> Jobs;
+  std::map<std::string, std::size_t> Starts;
   /// Tasks whose end "done" was acknowledged.
   std::set<std::string> AcknowledgedDone;
   std::vector<std::string> Found;
