--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/Codec.h"
+#include "platform/Json.h"
 
 #include <random>
 
@@ -163,6 +164,43 @@
   CHECK_FALSE(readHeartbeat("", HeartbeatJson).has_value());
 }
 
+// Guards against another writer's heartbeat that names a real worker: its
+// sequence number would shut out all later ones of that worker, and its
+// capacity or its drain notice would be taken for the worker's.
+TEST(Codec, RefusesHeartbeatsWithAMissingOrMistypedField) {
+  for (const std::string Name :
+       {"service", "address", "zone", "version", "slots", "state", "capacity",
+        "labels", "sequence", "cold_remaining_ms"}) {
+    auto Body = *platform::parseObject(HeartbeatJson);
+    Body->remove(Name);
+    CHECK_FALSE(readHeartbeat("i-1", platform::toText(*Body)).has_value());
+  }
+  for (const char *Name :
+       {"service", "address", "zone", "version", "slots", "state", "capacity",
+        "labels", "sequence", "cold_remaining_ms", "remaining_ms", "born",
+        "clock_ms"})
+    for (const char *Value : {"null", "true", "1.5", "-1", "[1]", "{}"}) {
+      auto Body = *platform::parseObject(HeartbeatJson);
+      Body->set(Name, Poco::Dynamic::Var::parse(Value));
+      CHECK_FALSE(readHeartbeat("i-1", platform::toText(*Body)).has_value());
+    }
+  for (const char *Name : {"cpu", "mem_mb", "gpu"}) {
+    auto Body = *platform::parseObject(HeartbeatJson);
+    Body->getObject("capacity")->set(Name, "8");
+    CHECK_FALSE(readHeartbeat("i-1", platform::toText(*Body)).has_value());
+    Body->getObject("capacity")->remove(Name);
+    CHECK_FALSE(readHeartbeat("i-1", platform::toText(*Body)).has_value());
+  }
+}
+
+// A sound worker that does not drain names no remaining time.
+TEST(Codec, ReadsAHeartbeatWithoutOptionalFields) {
+  auto Body = *platform::parseObject(HeartbeatJson);
+  for (const char *Name : {"remaining_ms", "born", "clock_ms"})
+    Body->remove(Name);
+  CHECK_TRUE(readHeartbeat("i-1", platform::toText(*Body)).has_value());
+}
+
 TEST(Codec, ReadsRunsAndEnds) {
   const auto Runs = readRuns(RunsJson);
   LONGS_EQUAL(482113, Runs->Clock.count());
