Replace an agent's worker only by one that has answered for itself

Cause: a claim that nothing proves was taken as the end of a worker. TaskAgent::onHeartbeat replaced the worker by whatever a heartbeat announced with a start that was not older, and reported the runs of the replaced one as lost. The coordinator started them elsewhere while the worker ran on under its lease. Its own heartbeats were ignored from then on, as it had started earlier.

Change: a heartbeat of any other incarnation announces a candidate. It becomes the agent's worker once it has answered a listing with its own start time, and once the end of the one before it is proved: by the answer of another worker at its address (421, or a later start under its id), by refused connections, or, if it is silent, by the expiry of all its leases. Until then the worker keeps its link, its lease and its runs, and start times are not compared. Candidates are bounded, called by a thread of their own, and only at the machine's own address, so that a message cannot make an agent call elsewhere. `worker announced` shows the service, `announced worker does not answer for itself` why a candidate is not taken, `worker process has ended` the proof.

--- a/include/baobabcove/ResultCode.h
+++ b/include/baobabcove/ResultCode.h
@@ -58,6 +58,7 @@
   UnknownGang = 1603,
   EventNotAllowed = 1604,
   StateChartInvalid = 1605,
+  WorkerReplaced = 1606,
   CompareFailed = 1701,
   StoreAnswerLost = 1702,
   PeerUnreachable = 1703,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -94,6 +94,8 @@
        "Report it with the state dump of the process."},
       {C::StateChartInvalid, "StateChartInvalid", NotRun, 500,
        "Restore the chart file that came with this version."},
+      {C::WorkerReplaced, "WorkerReplaced", NotRun, 409,
+       "Nothing: the coordinator places the task elsewhere."},
       {C::CompareFailed, "CompareFailed", NotRun, 409,
        "Read the newer value and decide again."},
       {C::StoreAnswerLost, "StoreAnswerLost", Unknown, 503,
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -57,6 +57,7 @@
   Threads.emplace_back([this] { attendLoop(); });
   Threads.emplace_back([this] { reportLoop(); });
   Threads.emplace_back([this] { listLoop(); });
+  Threads.emplace_back([this] { candidateLoop(); });
   for (int I = 0; I < OrderThreads; ++I)
     Threads.emplace_back([this] { orderLoop(); });
 }
@@ -355,25 +356,29 @@
                                         .add("listening", IsListening)
                                         .add("why", Failure.Detail));
   }
+  if (Failure.Code == ResultCode::WorkerReplaced) {
+    departWorker("another worker answers at its address");
+    return;
+  }
   if (IsListening)
     Liveness.noteSilence();
   else
     Liveness.noteRefusal(Now);
-  if (Liveness.hasEnded(Now)) {
-    LOG4CPLUS_WARN(logOf("worker"), LogFields("worker process has ended")
-                                        .add("worker", WorkerName)
-                                        .add("running", Running.size()));
-    departWorker(false);
-  }
+  if (Liveness.hasEnded(Now))
+    departWorker("its host refuses connections");
 }
 
 void TaskAgent::applyListing(const WorkerCall &Request,
                              const WorkerRuns &Listing, BootInstant RequestedAt,
                              BootInstant Now) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Request.Incarnation != WorkerName || !Worker ||
-      (Listing.StartedAtMs && Worker->StartedAtMs &&
-       Listing.StartedAtMs != Worker->StartedAtMs))
+  if (Request.Incarnation != WorkerName || !Worker)
+    return;
+  if (Listing.StartedAtMs > Worker->StartedAtMs) {
+    departWorker("it has started again under its id");
+    return;
+  }
+  if (Listing.StartedAtMs != Worker->StartedAtMs)
     return;
   if (!Liveness.answers())
     LOG4CPLUS_INFO(logOf("worker"), LogFields("worker answers again")
@@ -427,6 +432,7 @@
   Dump->set("worker", WorkerName.str());
   Dump->set("coordinator", Coordinator);
   Dump->set("epoch", Term.value());
+  Dump->set("candidates", Candidates.size());
   Dump->set("running", Running.size());
   Dump->set("ends", Ends.size());
   Dump->set("starts_held", Limit.held());
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -8,6 +8,7 @@
 #include "tasks/WorkerIncarnation.h"
 #include "tasks/agent/RunOrderTracker.h"
 #include "tasks/agent/StartLimit.h"
+#include "tasks/agent/WorkerCandidates.h"
 #include "tasks/agent/WorkerLease.h"
 #include "tasks/agent/WorkerLink.h"
 #include "tasks/agent/WorkerLiveness.h"
@@ -28,6 +29,8 @@
 struct AgentSettings {
   NodeId Node;
   DataCentreName DataCentre;
+  /// IPv4 address of this machine, on which its worker listens.
+  std::string Host;
 };
 
 /// Creates a link to the worker incarnation that sent the heartbeat.
@@ -37,7 +40,8 @@
 /// Runs beside one worker: reports its state to the coordinator, carries out
 /// the coordinator's orders, and extends the lease of its runs while the
 /// coordinator grants it. Separate threads poll the coordinator for orders,
-/// send it changes, and list the worker's runs; a few threads carry out orders.
+/// send it changes, list the worker's runs, and call the workers that may
+/// replace it; a few threads carry out orders.
 class TaskAgent {
 public:
   TaskAgent(AgentSettings Settings, TransactionalStore &Kv, LinkFactory Links,
@@ -47,8 +51,10 @@
   void start();
   void stop();
 
-  /// Processes a heartbeat of the worker; one that is older than the last is
-  /// ignored.
+  /// Processes a heartbeat. One of the agent's worker updates it unless it is
+  /// older than the last. Any other announces a candidate, which becomes the
+  /// agent's worker once it has answered for itself and the end of the one
+  /// before it is proved.
   void onHeartbeat(const WorkerHeartbeat &Heartbeat);
 
   /// Processes the announcement of the worker \p Id that it is terminating.
@@ -77,6 +83,7 @@
   void attendLoop();
   void reportLoop();
   void listLoop();
+  void candidateLoop();
   void orderLoop();
 
   bool exchange(Milliseconds Wait);
@@ -92,10 +99,21 @@
   void addRunning(wire::TaskReport &Report);
   bool listRuns(Milliseconds Wait);
   void noteListingFailure(const WorkerCall &Request, const Error &Failure);
-  /// Reports the worker as gone; \p Announced says whether it said so.
-  void departWorker(bool Announced);
+  /// Whether \p Heartbeat is of the current worker incarnation.
+  bool isOfWorker(const WorkerHeartbeat &Heartbeat) const;
+  /// Applies a heartbeat of the current worker incarnation.
+  void updateWorker(const WorkerHeartbeat &Heartbeat);
+  /// Calls a candidate, and adopts it if it has answered for itself and no
+  /// other worker is there.
+  void callCandidate(WorkerCandidate Candidate);
+  /// Makes a candidate the agent's worker.
+  void adopt(const WorkerCandidate &Candidate);
+  /// Reports the worker, whose end is proved, as gone.
+  void departWorker(const std::string &Proof);
+  /// Whether a worker incarnation is known whose end is not proved.
+  bool hasWorker() const;
   /// Records how the current worker incarnation has ended.
-  void noteEnd(bool Announced);
+  void noteEnd();
   void applyListing(const WorkerCall &Request, const WorkerRuns &Listing,
                     BootInstant RequestedAt, BootInstant Now);
   bool hasWorkerClock() const;
@@ -141,11 +159,15 @@
   /// The next of the runs when a report has room for a part of them only.
   std::size_t NextRunning = 0;
 
+  /// The last heartbeat of the worker, or of the one that has ended.
   std::optional<WorkerHeartbeat> Worker;
+  /// Whether the worker's termination was announced after its last heartbeat.
+  bool IsEndAnnounced = false;
+  WorkerCandidates Candidates;
   /// End of the worker's cold period.
   BootInstant ColdUntil{};
   std::shared_ptr<WorkerLink> Link;
-  /// The worker incarnation; empty before the first heartbeat.
+  /// The worker incarnation; empty before the first one has answered.
   WorkerIncarnation WorkerName;
   /// The latest incarnation that drained or announced its end before it ended.
   WorkerIncarnation LeftWorker;
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -5,73 +5,182 @@
 #include "base/LogFields.h"
 #include "tasks/agent/TaskAgent.h"
 
+#include <utility>
+
 namespace baobabcove {
 
+namespace {
+
+/// Delay before a candidate is called again.
+constexpr Milliseconds CandidateRetryDelay{150};
+
+} // namespace
+
 void TaskAgent::onHeartbeat(const WorkerHeartbeat &Heartbeat) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (Worker && (Heartbeat.StartedAtMs < Worker->StartedAtMs ||
-                 (Heartbeat.Id == Worker->Id &&
-                  Heartbeat.StartedAtMs == Worker->StartedAtMs &&
-                  Heartbeat.Sequence <= Worker->Sequence)))
+  if (!isOnHost(Heartbeat.Address, Settings.Host)) {
+    Stats.count("heartbeats_of_other_hosts");
+    LOG4CPLUS_WARN(logOf("worker"),
+                   LogFields("heartbeat of another host ignored")
+                       .add("id", Heartbeat.Id)
+                       .add("service", Heartbeat.Service)
+                       .add("address", Heartbeat.Address)
+                       .add("host", Settings.Host));
     return;
-  const bool StartsDraining =
-      Heartbeat.Draining && !(Worker && Worker->Draining);
-  const WorkerIncarnation Name =
-      incarnationOf(Settings.Node, Heartbeat.Id, Heartbeat.StartedAtMs);
-  const bool NewIncarnation = Name != WorkerName;
-  const bool NewCapacity =
-      Worker && !(Heartbeat.MilliCores == Worker->MilliCores &&
-                  Heartbeat.MemoryMb == Worker->MemoryMb &&
-                  Heartbeat.Accelerators == Worker->Accelerators);
-  if (NewIncarnation && Worker)
-    noteEnd(false);
+  }
+  if (isOfWorker(Heartbeat)) {
+    updateWorker(Heartbeat);
+    return;
+  }
+  Candidates.add(Heartbeat, BootClock::now());
+  StateChanged.notify_all();
+}
+
+bool TaskAgent::isOfWorker(const WorkerHeartbeat &Heartbeat) const {
+  return hasWorker() && Heartbeat.Id == Worker->Id &&
+         Heartbeat.StartedAtMs == Worker->StartedAtMs;
+}
+
+void TaskAgent::updateWorker(const WorkerHeartbeat &Heartbeat) {
+  // Another writer may name the worker with a service or an address that is not
+  // its own.
+  if (Heartbeat.Sequence <= Worker->Sequence ||
+      Heartbeat.Service != Worker->Service ||
+      Heartbeat.Address != Worker->Address)
+    return;
+  const bool StartsDraining = Heartbeat.Draining && !Worker->Draining;
+  const bool NewCapacity = Heartbeat.MilliCores != Worker->MilliCores ||
+                           Heartbeat.MemoryMb != Worker->MemoryMb ||
+                           Heartbeat.Accelerators != Worker->Accelerators;
   Worker = Heartbeat;
+  IsEndAnnounced = false;
   ColdUntil = BootClock::now() + Heartbeat.ColdRemaining;
-  if (NewIncarnation) {
-    LOG4CPLUS_INFO(logOf("worker"),
-                   LogFields("worker announced")
-                       .add("worker", Name)
-                       .add("was", WorkerName)
-                       .add("address", Heartbeat.Address)
-                       .add("rack", Heartbeat.Rack)
-                       .add("accelerators", Heartbeat.Accelerators));
-    resetWorkerState();
-    IsSoleAgent = !WorkerName.str().empty();
-    WorkerName = Name;
-    Link = std::shared_ptr<WorkerLink>(Links(Heartbeat));
-  }
   if (StartsDraining)
     LOG4CPLUS_INFO(logOf("worker"),
                    LogFields("worker is draining")
-                       .add("worker", Name)
+                       .add("worker", WorkerName)
                        .add("remaining_ms", Heartbeat.Remaining.count()));
   if (NewCapacity)
     LOG4CPLUS_INFO(logOf("worker"),
                    LogFields("worker's capacity changed")
-                       .add("worker", Name)
+                       .add("worker", WorkerName)
                        .add("milli_cores", Heartbeat.MilliCores)
                        .add("memory_mb", Heartbeat.MemoryMb)
                        .add("accelerators", Heartbeat.Accelerators));
-  if (NewIncarnation || StartsDraining || NewCapacity) {
+  if (StartsDraining || NewCapacity) {
     ReportPending = true;
     ReportNeeded.notify_all();
-    StateChanged.notify_all();
   }
 }
 
 void TaskAgent::onWorkerLeft(const std::string &Id) {
   const std::lock_guard<std::mutex> Lock(Mutex);
-  if (!Worker || Worker->Id != Id)
+  if (!hasWorker() || Worker->Id != Id)
     return;
+  LOG4CPLUS_INFO(
+      logOf("worker"),
+      LogFields("worker announced its end").add("worker", WorkerName));
+  IsEndAnnounced = true;
+  departWorker("it announced its end");
+}
+
+void TaskAgent::candidateLoop() {
+  for (;;) {
+    std::vector<WorkerCandidate> Due;
+    std::uint64_t Departed = 0;
+    {
+      std::unique_lock<std::mutex> Lock(Mutex);
+      StateChanged.wait(Lock, [&] {
+        if (!Stopping && Term != Epoch())
+          Due = Candidates.due(BootClock::now());
+        return Stopping || !Due.empty();
+      });
+      if (Stopping)
+        return;
+      Departed = DepartedWorkers;
+    }
+    for (const WorkerCandidate &Each : Due)
+      callCandidate(Each);
+    std::unique_lock<std::mutex> Lock(Mutex);
+    StateChanged.wait_for(Lock, CandidateRetryDelay, [&] {
+      return Stopping || DepartedWorkers != Departed;
+    });
+  }
+}
+
+void TaskAgent::callCandidate(WorkerCandidate Candidate) {
+  const WorkerHeartbeat &Heartbeat = Candidate.Heartbeat;
+  Epoch AtTerm;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    AtTerm = Term;
+  }
+  if (!Candidate.Link)
+    Candidate.Link = Links(Heartbeat);
+  const auto Listing =
+      Candidate.Link->renewAndList(Milliseconds(0), 0, Milliseconds(0), AtTerm);
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const std::string EarlierDoubt = std::exchange(Candidate.Doubt, "");
+  if (!Listing)
+    Candidate.Doubt = Listing.error().Detail;
+  else if (Listing->StartedAtMs != Heartbeat.StartedAtMs)
+    Candidate.Doubt =
+        "the worker there started at " + std::to_string(Listing->StartedAtMs);
+  if (!Candidate.Doubt.empty() && Candidate.Doubt != EarlierDoubt) {
+    Stats.count("candidates_doubted");
+    LOG4CPLUS_WARN(
+        logOf("worker"),
+        LogFields("announced worker does not answer for itself")
+            .add("candidate", incarnationOf(Settings.Node, Heartbeat.Id,
+                                            Heartbeat.StartedAtMs))
+            .add("address", Heartbeat.Address)
+            .add("worker", WorkerName)
+            .add("why", Candidate.Doubt));
+  }
+  Candidates.noteCall(Candidate);
+  // Nothing that it answers later can prove a candidate that another worker has
+  // contradicted.
+  if (Listing && !Candidate.Doubt.empty())
+    (void)Candidates.take(Candidate);
+  // All leases of a silent worker have to expire before it is given up.
+  const bool HasEnded = !hasWorker() || (!Liveness.answers() &&
+                                         Lease.hasExpired(BootClock::now()));
+  if (Candidate.Doubt.empty() && HasEnded)
+    adopt(Candidates.take(Candidate));
+}
+
+void TaskAgent::adopt(const WorkerCandidate &Candidate) {
+  const WorkerHeartbeat &Heartbeat = Candidate.Heartbeat;
+  const WorkerIncarnation Name =
+      incarnationOf(Settings.Node, Heartbeat.Id, Heartbeat.StartedAtMs);
+  if (hasWorker())
+    noteEnd();
   LOG4CPLUS_INFO(logOf("worker"),
-                 LogFields("worker left").add("worker", WorkerName));
-  departWorker(true);
+                 LogFields("worker announced")
+                     .add("worker", Name)
+                     .add("was", WorkerName)
+                     .add("service", Heartbeat.Service)
+                     .add("address", Heartbeat.Address)
+                     .add("rack", Heartbeat.Rack)
+                     .add("accelerators", Heartbeat.Accelerators)
+                     .add("draining", Heartbeat.Draining));
+  resetWorkerState();
+  IsSoleAgent = !WorkerName.str().empty() && Name != LostWorker;
+  WorkerName = Name;
+  Worker = Heartbeat;
+  ColdUntil = Candidate.HeardAt + Heartbeat.ColdRemaining;
+  Link = Candidate.Link;
+  ReportPending = true;
+  ReportNeeded.notify_all();
+  StateChanged.notify_all();
 }
 
-void TaskAgent::noteEnd(bool Announced) {
-  if (isDeparted(WorkerName))
-    return;
-  if (Announced || Worker->Draining)
+bool TaskAgent::hasWorker() const {
+  return Worker && !WorkerName.str().empty() && !isDeparted(WorkerName);
+}
+
+void TaskAgent::noteEnd() {
+  if (IsEndAnnounced || Worker->Draining)
     LeftWorker = WorkerName;
   LostWorker = Listed || IsSoleAgent ? WorkerName : WorkerIncarnation();
   AreLostRunsComplete = IsSoleAgent;
@@ -82,8 +191,13 @@
     LostRuns.erase({End.task(), End.run()});
 }
 
-void TaskAgent::departWorker(bool Announced) {
-  noteEnd(Announced);
+void TaskAgent::departWorker(const std::string &Proof) {
+  LOG4CPLUS_WARN(logOf("worker"), LogFields("worker process has ended")
+                                      .add("worker", WorkerName)
+                                      .add("running", Running.size())
+                                      .add("announced", IsEndAnnounced)
+                                      .add("proof", Proof));
+  noteEnd();
   resetWorkerState();
   Link.reset();
   // The departed worker is reported as an incarnation without runs, so that the
@@ -94,6 +208,7 @@
   ListedAt = BootInstant::max();
   ReportPending = true;
   ReportNeeded.notify_all();
+  StateChanged.notify_all();
 }
 
 void TaskAgent::resetWorkerState() {
@@ -108,6 +223,7 @@
   StartsSent.clear();
   Orders.Clear();
   Listed = false;
+  IsEndAnnounced = false;
   Liveness = WorkerLiveness();
   WorkerClockAt = BootInstant{};
 }
--- /dev/null
+++ b/src/tasks/agent/WorkerCandidates.h
@@ -0,0 +1,59 @@
+#ifndef BAOBABCOVE_TASKS_AGENT_WORKERCANDIDATES_H
+#define BAOBABCOVE_TASKS_AGENT_WORKERCANDIDATES_H
+
+#include "baobabcove/Clock.h"
+#include "tasks/agent/WorkerLink.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace baobabcove {
+
+/// A worker incarnation that a heartbeat has announced and that has not
+/// replaced the agent's worker yet.
+struct WorkerCandidate {
+  WorkerHeartbeat Heartbeat;
+  /// When the heartbeat arrived.
+  BootInstant HeardAt{};
+  /// Null until the candidate is called for the first time.
+  std::shared_ptr<WorkerLink> Link;
+  /// Why the last call did not prove it; empty if it did, or there was none.
+  std::string Doubt;
+};
+
+/// The worker incarnations that may replace an agent's worker. A heartbeat
+/// proves nothing: it may be late, or another writer's. Not thread-safe.
+class WorkerCandidates {
+public:
+  /// Records a heartbeat. The newest of a candidate counts. When there are
+  /// too many candidates, drops the one that was heard of the longest ago.
+  void add(const WorkerHeartbeat &Heartbeat, BootInstant Now);
+
+  /// Removes a candidate, and returns it with its newest heartbeat.
+  WorkerCandidate take(const WorkerCandidate &Candidate);
+
+  /// Returns the candidates to call, which were heard of recently.
+  std::vector<WorkerCandidate> due(BootInstant Now);
+
+  /// Keeps the link and the result of a call for the next one.
+  void noteCall(const WorkerCandidate &Candidate);
+
+  std::size_t size() const { return Candidates.size(); }
+
+  static constexpr std::size_t MaxCandidates = 8;
+  /// Longer than the period of heartbeats.
+  static constexpr Milliseconds Timeout{4000};
+
+private:
+  std::vector<WorkerCandidate>::iterator find(const WorkerHeartbeat &Heartbeat);
+
+  std::vector<WorkerCandidate> Candidates;
+};
+
+/// Whether \p Address is the IPv4 address \p Host with a port.
+bool isOnHost(const std::string &Address, const std::string &Host);
+
+} // namespace baobabcove
+
+#endif // BAOBABCOVE_TASKS_AGENT_WORKERCANDIDATES_H
--- a/src/tasks/agent/WorkerLink.h
+++ b/src/tasks/agent/WorkerLink.h
@@ -90,7 +90,8 @@
 
   /// Extends the lease of all runs to \p Deadline on the worker's clock (zero:
   /// no extension), discards ends up to \p Acknowledged and lists the rest.
-  /// Waits for at most \p Wait for a new end.
+  /// Waits for at most \p Wait for a new end. Fails with WorkerReplaced if the
+  /// process at the worker's address is not this worker.
   virtual Expected<WorkerRuns> renewAndList(Milliseconds Deadline,
                                             std::uint64_t Acknowledged,
                                             Milliseconds Wait, Epoch Term) = 0;
--- a/tests/platform/WorkerCallsTest.cpp
+++ b/tests/platform/WorkerCallsTest.cpp
@@ -30,3 +30,18 @@
   CHECK(CallOutcome::Refused == Answer.Outcome);
   LONGS_EQUAL(wire::REFUSED_UNHEALTHY, Answer.Reason);
 }
+
+// Guards against a worker that stays its agent's worker although another one
+// answers at its address.
+TEST(WorkerCalls, TellsThatAnotherWorkerAnswers) {
+  auto Server = serveHttp("127.0.0.1:0", HttpLimits(), [](const HttpRequest &) {
+    HttpResponse Response;
+    Response.Status = 421;
+    Response.Body = R"({"clock_ms":1,"born":9})";
+    return Response;
+  });
+  const auto Runs =
+      linkTo((*Server)->address())
+          ->renewAndList(Milliseconds(0), 0, Milliseconds(0), Epoch(1));
+  CHECK(ResultCode::WorkerReplaced == Runs.error().Code);
+}
