End a worker by its calls, not by a deregistration that may be late

Cause: DELETE /-/instances/ID names an id only. One that arrives after the worker has started again under that id counted as the end of the new incarnation, whose runs the coordinator started elsewhere while they ran on.

Change: the announcement is noted only. The worker keeps its lease and its runs while it answers; the first refused connection after it proves the end, so that an orderly end is known without the wait that a refusal otherwise needs. A later heartbeat of the worker withdraws the announcement.

--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -364,7 +364,8 @@
     Liveness.noteSilence();
   else
     Liveness.noteRefusal(Now);
-  if (Liveness.hasEnded(Now))
+  // A worker that has announced its end stops listening only when it ends.
+  if (Liveness.hasEnded(Now) || (IsEndAnnounced && Liveness.refuses()))
     departWorker("its host refuses connections");
 }
 
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -57,7 +57,9 @@
   /// before it is proved.
   void onHeartbeat(const WorkerHeartbeat &Heartbeat);
 
-  /// Processes the announcement of the worker \p Id that it is terminating.
+  /// Processes the announcement of the worker \p Id that it is terminating. It
+  /// may be late, and the worker is one that has started again under that id,
+  /// so that only its calls show when it has ended.
   void onWorkerLeft(const std::string &Id);
 
   std::string dump() const;
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -81,7 +81,6 @@
       logOf("worker"),
       LogFields("worker announced its end").add("worker", WorkerName));
   IsEndAnnounced = true;
-  departWorker("it announced its end");
 }
 
 void TaskAgent::candidateLoop() {
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -775,6 +775,23 @@
   CHECK_TRUE(waitUntil([&] { return last().draining(); }));
 }
 
+// Guards against runs that are stopped and started again because a worker's
+// termination, announced before it started again under its id, arrives late.
+TEST(TaskAgent, KeepsItsWorkerWhenItsEndIsAnnouncedButItAnswers) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  Agent->onWorkerLeft("i-1");
+  awaitReports();
+  STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
+  LONGS_EQUAL(1, last().running_size());
+  // Its next heartbeat shows that the announcement was late, so that a later
+  // end counts as a crash.
+  Agent->onHeartbeat(heartbeat(7, 2));
+  endWorker();
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  STRCMP_EQUAL("", last().left_worker().c_str());
+}
+
 // Guards against runs of two workers at once after a second one is announced
 // while the first one answers.
 TEST(TaskAgent, KeepsItsWorkerWhileItAnswersBesideAnother) {
