Take workers only of services that the newest configuration or a job names

Cause: an agent has no configuration, and took a heartbeat of any service. One of another writer that names a real worker, its start and its address, but a service that is named nowhere, was the worker's from then on, with a sequence number that shut out the real ones.

Change: the coordinator's answers name the services of its newest configuration and of its jobs, whose tasks still run after their service was dropped. A candidate of another service waits, and is told apart from the worker's own announcement; the worker's own service and address do not change with a later heartbeat. An agent that has heard of no configuration takes no worker. Coordinators of an earlier release name none, and their agents take any service as before.

Tests: TaskAgent.TakesNoWorkerOfAServiceThatIsNotNamed and .TakesAWorkerOnceItsServiceIsNamed fail with the check taken back.

--- a/src/tasks/QueueConfig.cpp
+++ b/src/tasks/QueueConfig.cpp
@@ -12,4 +12,13 @@
   return Longest;
 }
 
+std::set<ServiceName> serviceNames(const QueueConfig &Config) {
+  std::set<ServiceName> Names;
+  for (const auto &[Name, Rule] : Config.Services)
+    Names.insert(Name);
+  for (const QueueRule &Queue : Config.Queues)
+    Names.insert(Queue.Service);
+  return Names;
+}
+
 } // namespace baobabcove
--- a/src/tasks/QueueConfig.h
+++ b/src/tasks/QueueConfig.h
@@ -5,6 +5,7 @@
 #include "baobabcove/Ids.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,9 @@
 const QueueRule *findQueue(const QueueConfig &Config, const std::string &Host,
                            const std::string &Path);
 
+/// Returns the services that \p Config names.
+std::set<ServiceName> serviceNames(const QueueConfig &Config);
+
 } // namespace baobabcove
 
 #endif // BAOBABCOVE_TASKS_QUEUECONFIG_H
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -223,6 +223,9 @@
     Term = Epoch(NewOrders.epoch());
     StateChanged.notify_all();
   }
+  Candidates.applyServices(NewOrders);
+  if (Candidates.size() > 0)
+    StateChanged.notify_all();
   if (NewOrders.poll_ms())
     PollWait = std::min(Milliseconds(NewOrders.poll_ms()), MaxPollWait);
   if (NewOrders.agent_session() && NewOrders.agent_session() != Session) {
--- a/src/tasks/agent/WorkerCandidates.cpp
+++ b/src/tasks/agent/WorkerCandidates.cpp
@@ -57,13 +57,33 @@
   return Newest;
 }
 
+void WorkerCandidates::applyServices(const wire::TaskOrders &Answer) {
+  if (!Answer.has_services()) {
+    AreServicesKnown = true;
+    Services.reset();
+    return;
+  }
+  // A coordinator without a configuration says nothing about the services.
+  if (!Answer.services().known())
+    return;
+  AreServicesKnown = true;
+  Services.emplace();
+  for (const std::string &Name : Answer.services().names())
+    Services->insert(ServiceName(Name));
+}
+
 std::vector<WorkerCandidate> WorkerCandidates::due(BootInstant Now) {
   Candidates.erase(std::remove_if(Candidates.begin(), Candidates.end(),
                                   [&](const WorkerCandidate &Each) {
                                     return Now - Each.HeardAt > Timeout;
                                   }),
                    Candidates.end());
-  return Candidates;
+  std::vector<WorkerCandidate> Due;
+  std::copy_if(Candidates.begin(), Candidates.end(), std::back_inserter(Due),
+               [&](const WorkerCandidate &Each) {
+                 return isServiceNamed(Each.Heartbeat.Service);
+               });
+  return Due;
 }
 
 void WorkerCandidates::noteCall(const WorkerCandidate &Candidate) {
@@ -82,6 +102,10 @@
                       });
 }
 
+bool WorkerCandidates::isServiceNamed(const ServiceName &Service) const {
+  return AreServicesKnown && (!Services || Services->count(Service));
+}
+
 bool isOnHost(const std::string &Address, const std::string &Host) {
   const std::size_t Colon = Address.rfind(':');
   if (Colon == std::string::npos || !isPort(Address.substr(Colon + 1)))
--- a/src/tasks/agent/WorkerCandidates.h
+++ b/src/tasks/agent/WorkerCandidates.h
@@ -2,9 +2,12 @@
 #define BAOBABCOVE_TASKS_AGENT_WORKERCANDIDATES_H
 
 #include "baobabcove/Clock.h"
+#include "tasks.pb.h"
 #include "tasks/agent/WorkerLink.h"
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +36,11 @@
   /// Removes a candidate, and returns it with its newest heartbeat.
   WorkerCandidate take(const WorkerCandidate &Candidate);
 
-  /// Returns the candidates to call, which were heard of recently.
+  /// Applies the services that the coordinator's configuration names.
+  void applyServices(const wire::TaskOrders &Answer);
+
+  /// Returns the candidates to call: those whose service is named and which
+  /// were heard of recently.
   std::vector<WorkerCandidate> due(BootInstant Now);
 
   /// Keeps the link and the result of a call for the next one.
@@ -47,8 +54,14 @@
 
 private:
   std::vector<WorkerCandidate>::iterator find(const WorkerHeartbeat &Heartbeat);
+  bool isServiceNamed(const ServiceName &Service) const;
 
   std::vector<WorkerCandidate> Candidates;
+  /// Whether any coordinator has told the services.
+  bool AreServicesKnown = false;
+  /// Empty if the coordinator is of a release that tells none: any service is
+  /// taken as named then.
+  std::optional<std::set<ServiceName>> Services;
 };
 
 /// Whether \p Address is the IPv4 address \p Host with a port.
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -43,6 +43,7 @@
 
 void JobTracker::clear() {
   Jobs.clear();
+  Services.clear();
   Placed.clear();
   IsPlacedIndexStale = true;
   Dirty.clear();
@@ -64,6 +65,7 @@
   const auto [Job, Added] = Jobs.try_emplace(Id, TaskJob(std::move(Spec)));
   if (!Added)
     return;
+  Services.insert(ServiceName(Job->second.spec().service()));
   for (const wire::StepSpec &Step : Job->second.spec().steps())
     LOG4CPLUS_INFO(logOf("jobs"),
                    LogFields("step added")
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -136,6 +136,9 @@
   }
   const std::map<JobId, TaskJob> &jobs() const { return Jobs; }
 
+  /// The services of all jobs that were added.
+  const std::set<ServiceName> &services() const { return Services; }
+
   TaskRunTimes &runTimes() { return RunTimes; }
 
 private:
@@ -288,6 +291,7 @@
   Epoch CurrentTerm;
   std::vector<RunName> GivenUp;
   std::map<JobId, TaskJob> Jobs;
+  std::set<ServiceName> Services;
   std::map<NodeId, TaskRefs> Placed;
   /// Whether tasks may have been placed, or jobs removed, since the index was
   /// built.
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -245,6 +245,11 @@
   Tracker.beginTerm(Term.Number);
   TermBegan = Now.Boot;
   UnpublishedCancels.clear();
+  NamedConfig.reset();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Services.Clear();
+  }
   for (const StoreItem &Item : All->Items) {
     auto Spec = std::make_shared<wire::TaskJobSpec>();
     if (Item.Key.rfind(keys::Jobs, 0) == 0 && Spec->ParseFromString(Item.Value))
@@ -356,6 +361,7 @@
   const OperatorSnapshot Orders = Config();
   if (!Orders.Config)
     return;
+  updateServices(Orders.Config);
   std::vector<wire::TaskReport> Reachable;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -372,6 +378,22 @@
   recordEvacuations(Orders.Evacuated);
 }
 
+void TaskCoordinator::updateServices(
+    const std::shared_ptr<const QueueConfig> &Newest) {
+  const std::set<ServiceName> &OfJobs = Tracker.services();
+  if (Newest == NamedConfig && OfJobs.size() == NamedJobServices)
+    return;
+  NamedConfig = Newest;
+  NamedJobServices = OfJobs.size();
+  std::set<ServiceName> Names = serviceNames(*Newest);
+  Names.insert(OfJobs.begin(), OfJobs.end());
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Services.Clear();
+  Services.set_known(true);
+  for (const ServiceName &Name : Names)
+    Services.add_names(Name.str());
+}
+
 void TaskCoordinator::recordEvacuations(const Evacuations &Known) {
   Stats.set("evacuated_data_centres", Known.Active.size());
   Stats.set("evacuation_runs_left", Tracker.runsInEvacuated());
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -130,6 +130,7 @@
   void decide(BootInstant Now);
   bool persist(const CoordinatorTerm &Term);
   void publish();
+  void updateServices(const std::shared_ptr<const QueueConfig> &Newest);
   void recordRound(const RoundTimes &Times, BootInstant Now);
   void recordPublishedCancels();
   void reportRunTimes(BootInstant Now);
@@ -152,6 +153,9 @@
   Inbox Incoming;
   std::map<NodeId, WorkerSession> Sessions;
   std::uint64_t LastAgentSession = 0;
+  /// The services of the newest configuration and of all jobs. An agent takes
+  /// no worker of any other.
+  wire::ServiceNames Services;
   /// Number of runs in evacuated data centres at the last round.
   std::size_t RunsInEvacuated = 0;
   /// The epoch under which orders are given; zero while none are.
@@ -164,6 +168,10 @@
   /// When the jobs of the current term had been read.
   BootInstant TermBegan{};
   JobTracker Tracker;
+  /// The configuration and the number of services of jobs for which Services
+  /// was made.
+  std::shared_ptr<const QueueConfig> NamedConfig;
+  std::size_t NamedJobServices = 0;
   ProgressWriter Writer;
   TombstoneSweeper Tombstones;
   /// Cancellations whose stops have not been published.
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -98,6 +98,7 @@
   Reply.set_poll_ms(static_cast<std::uint32_t>(
       pollInterval(Sessions.size(), Settings.CpuShare).count()));
   limitStarts(Report, CalledAt, Reply);
+  *Reply.mutable_services() = Services;
   return Reply;
 }
 
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -176,6 +176,8 @@
     Orders.set_epoch(5);
     Orders.set_grant_ms(6000);
     Orders.set_worker("n1/i-1#7");
+    Orders.mutable_services()->set_known(true);
+    Orders.mutable_services()->add_names("planner");
     Coordinator =
         std::move(*serveRpc("127.0.0.1:0", nullptr, nullptr,
                             [this](const wire::TaskReport &Report) {
@@ -833,3 +835,62 @@
   CHECK(monotonicNow() - Begin >= Milliseconds(1000));
   STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
 }
+
+// Guards against starts on a worker under a service that no configuration
+// names, as announced by another writer beside the worker's own heartbeats.
+TEST(TaskAgent, TakesNoWorkerOfAServiceThatIsNotNamed) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  endWorker();
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Refuses = false;
+    Worker.StartedAtMs = 9;
+  }
+  WorkerHeartbeat Other = heartbeat(9, 1000);
+  Other.Service = ServiceName("unknown");
+  Agent->onHeartbeat(Other);
+  awaitReports();
+  STRCMP_EQUAL("n1/none#1", last().worker().c_str());
+  Agent->onHeartbeat(heartbeat(9, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#9"; }));
+  STRCMP_EQUAL("planner", last().service().c_str());
+  // It does not change the worker either.
+  Other.Sequence = 1001;
+  Agent->onHeartbeat(Other);
+  WorkerHeartbeat Draining = heartbeat(9, 2);
+  Draining.Draining = true;
+  Agent->onHeartbeat(Draining);
+  CHECK_TRUE(waitUntil([&] { return last().draining(); }));
+  STRCMP_EQUAL("planner", last().service().c_str());
+}
+
+// Pattern: a coordinator without a configuration, then one that names a new
+// service, then one of an earlier release.
+TEST(TaskAgent, TakesAWorkerOnceItsServiceIsNamed) {
+  Agent->stop();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Last.Clear();
+    Orders.mutable_services()->Clear();
+  }
+  startAgent();
+  Agent->onHeartbeat(heartbeat(7, 1));
+  awaitReports();
+  STRCMP_EQUAL("", last().worker().c_str());
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.mutable_services()->set_known(true);
+    Orders.mutable_services()->add_names("planner");
+  }
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#7"; }));
+  Agent->stop();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Last.Clear();
+    Orders.clear_services();
+  }
+  startAgent();
+  Agent->onHeartbeat(heartbeat(7, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#7"; }));
+}
--- a/tests/tasks/agent/WorkerCandidatesTest.cpp
+++ b/tests/tasks/agent/WorkerCandidatesTest.cpp
@@ -18,9 +18,27 @@
     Heartbeat.Address = "10.0.0.1:8080";
     return Heartbeat;
   }
+
+  void nameServices(const std::vector<std::string> &Names) {
+    wire::TaskOrders Answer;
+    Answer.mutable_services()->set_known(true);
+    for (const std::string &Name : Names)
+      Answer.mutable_services()->add_names(Name);
+    Candidates.applyServices(Answer);
+  }
 };
 
+TEST(WorkerCandidates, AreNotDueBeforeTheirServiceIsNamed) {
+  Candidates.add(heartbeat("i-1", 1), Now);
+  LONGS_EQUAL(0, Candidates.due(Now).size());
+  nameServices({"other"});
+  LONGS_EQUAL(0, Candidates.due(Now).size());
+  nameServices({"other", "planner"});
+  LONGS_EQUAL(1, Candidates.due(Now).size());
+}
+
 TEST(WorkerCandidates, KeepTheNewestHeartbeat) {
+  nameServices({"planner"});
   Candidates.add(heartbeat("i-1", 2), Now);
   WorkerHeartbeat Draining = heartbeat("i-1", 3);
   Draining.Draining = true;
@@ -34,6 +52,7 @@
 // Guards against a worker whose heartbeats are ignored because another writer
 // has announced its incarnation with a higher sequence number.
 TEST(WorkerCandidates, AreToldApartByServiceAndAddress) {
+  nameServices({"planner"});
   WorkerHeartbeat Other = heartbeat("i-1", 1000);
   Other.Service = ServiceName("unknown");
   Candidates.add(Other, Now);
@@ -42,10 +61,11 @@
   Candidates.add(Other, Now);
   Candidates.add(heartbeat("i-1", 1), Now);
   LONGS_EQUAL(3, Candidates.size());
-  LONGS_EQUAL(3, Candidates.due(Now).size());
+  LONGS_EQUAL(2, Candidates.due(Now).size());
 }
 
 TEST(WorkerCandidates, AreForgottenWithoutFurtherHeartbeats) {
+  nameServices({"planner"});
   Candidates.add(heartbeat("i-1", 1), Now);
   LONGS_EQUAL(1, Candidates.due(Now + WorkerCandidates::Timeout).size());
   LONGS_EQUAL(
@@ -55,6 +75,7 @@
 }
 
 TEST(WorkerCandidates, AreBoundedAndKeepTheOnesHeardOfLast) {
+  nameServices({"planner"});
   Candidates.add(heartbeat("i-0", 1), Now);
   for (std::size_t N = 1; N <= WorkerCandidates::MaxCandidates; ++N)
     Candidates.add(heartbeat("i-" + std::to_string(N), 1),
@@ -63,6 +84,15 @@
   STRCMP_EQUAL("i-1", Candidates.due(Now)[0].Heartbeat.Id.c_str());
 }
 
+TEST(WorkerCandidates, KeepTheServicesWhileACoordinatorKnowsNone) {
+  nameServices({"planner"});
+  wire::TaskOrders Answer;
+  Answer.mutable_services();
+  Candidates.applyServices(Answer);
+  Candidates.add(heartbeat("i-1", 1), Now);
+  LONGS_EQUAL(1, Candidates.due(Now).size());
+}
+
 TEST(WorkerCandidates, RecognizeAddressesOfTheirHost) {
   CHECK_TRUE(isOnHost("10.0.0.1:8080", "10.0.0.1"));
   for (const char *Address :
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -56,8 +56,17 @@
   FakeKv Kv;
   Metrics Stats;
   CoordinatorRole Role{Kv, "front 1:1", Milliseconds(60000), [] {}};
-  TaskCoordinator Coordinator{
-      Kv, {}, [] { return std::make_shared<const QueueConfig>(); }, Stats};
+  TaskCoordinator Coordinator{Kv,
+                              {},
+                              []() -> OperatorSnapshot {
+                                auto Config = std::make_shared<QueueConfig>();
+                                Config->Services[ServiceName("sorter")];
+                                Config->Queues.emplace_back();
+                                Config->Queues[0].Service =
+                                    ServiceName("reader");
+                                return Config;
+                              },
+                              Stats};
 
   void setup() override {
     Role.start();
@@ -90,6 +99,38 @@
   CHECK_TRUE(pauseAfterRound(9000) <= Milliseconds(50));
 }
 
+// Guards against an agent that takes a worker of a service that no
+// configuration names, or none of a service whose jobs have not ended.
+TEST(TaskCoordinator, NamesTheServicesOfItsConfigurationAndOfItsJobs) {
+  std::uint64_t Sequence = 0;
+  const auto Named = [&] {
+    std::string Names;
+    const wire::TaskOrders Orders =
+        Coordinator.attend(reportOf("n1", ++Sequence, 1));
+    CHECK_TRUE(Orders.has_services());
+    for (const std::string &Name : Orders.services().names())
+      Names += Name + " ";
+    return Orders.services().known() ? Names : "unknown";
+  };
+  CHECK_TRUE(waitUntil([&] { return Named() == "reader sorter "; }));
+  Coordinator.onJob(jobOf("job1"));
+  CHECK_TRUE(waitUntil([&] { return Named() == "planner reader sorter "; }));
+}
+
+TEST(TaskCoordinator, NamesNoServicesWithoutAConfiguration) {
+  Coordinator.stop();
+  TaskCoordinator WithoutConfig(
+      Kv, {}, [] { return OperatorSnapshot(); }, Stats);
+  WithoutConfig.start(Role);
+  const std::uint64_t Rounds = counter("rounds");
+  CHECK_TRUE(waitUntil([&] { return counter("rounds") > Rounds + 1; }));
+  const wire::TaskOrders Orders = WithoutConfig.attend(reportOf("n1", 1, 1));
+  CHECK_TRUE(Orders.coordinating());
+  CHECK_TRUE(Orders.has_services());
+  CHECK_FALSE(Orders.services().known());
+  WithoutConfig.stop();
+}
+
 // Pattern: each publication wakes the waiting calls of all agents, so that a
 // small instance has no processor time left for its rounds.
 TEST(TaskCoordinator, WakesOnlyTheAgentWhoseOrdersChanged) {
