Bar late starts on the next worker of a node

Cause: between two incarnations the agent reports an absent worker. There a run counts as barred at once, as nothing can run, although its start may still be on its way to the same id. At the next incarnation the agent had forgotten both the starts that it sent without an answer and the bars that the coordinator had named before, as it cleared them with the state of the worker; and the coordinator named no bar for runs that ended with their worker, which a restarted agent does not know.

A start that was not answered is reported as barred only 2 s after the worker ended, in which time one that starts again under its id is seen and bars it. Longer waits would leave jobs without a run for the 3 s that their callers accept, so that a worker which comes back later under its id can still start such a run before its bar. The coordinator names the runs that were lost without having been listed.

Tests, each red with its part of the change taken back: TaskAgent.GivesNoLeaseBeforeBarsThatCameBeforeItsWorker, .BarsUnansweredStartsOnTheNextIncarnationUnderTheId, .ReportsAnUnansweredStartOfAnEndedWorkerAsBarredOnlyLater, JobTracker.BarsARunOnTheNextWorkerIncarnationBeforeRestartingIt.

--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -233,9 +233,11 @@
     ReportPending = true;
     ReportNeeded.notify_all();
   }
-  for (const wire::RunKey &Run : NewOrders.bars())
-    Lease.requireBar({Run.task(), Run.run()});
   const BootInstant Now = BootClock::now();
+  for (const wire::RunKey &Run : NewOrders.bars()) {
+    Late.addNamed({Run.task(), Run.run()}, Now);
+    Lease.requireBar({Run.task(), Run.run()});
+  }
   // The coordinator may have given up the runs of earlier orders meanwhile.
   if (Lease.hasGrantRunOut(Now))
     voidStarts("grant ran out");
@@ -256,12 +258,13 @@
 }
 
 void TaskAgent::queueOrders() {
-  for (const auto &[Run, Stop] : RunOrders.update(Orders, BootClock::now())) {
-    if (!Link)
+  const BootInstant Now = BootClock::now();
+  for (const auto &[Run, Stop] : RunOrders.update(Orders, Now)) {
+    if (!Link && !mayStartLate(Run, Now)) {
       RunOrders.markBarred(Run);
-    else if (!Queue.tryPush({Stop, Run.first, Run.second}))
+      ReportPending = true;
+    } else if (!Link || !Queue.tryPush({Stop, Run.first, Run.second}))
       RunOrders.postpone(Run);
-    ReportPending = ReportPending || !Link;
   }
   for (const RunId &Run : Lease.barsToSend())
     if (!Link || !Queue.tryPush({true, Run.first, Run.second}))
@@ -420,7 +423,7 @@
   // What an overtaken listing says about orders that the worker answered before
   // it still holds.
   HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
-  std::set<RunId> Sent = UnansweredStarts;
+  std::set<RunId> Sent = Late.reaching(Worker->Id, Now);
   Sent.insert(StartsSent.begin(), StartsSent.end());
   Lease.applyListing(RequestedAt, Known, Sent);
   queueOrders();
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -6,6 +6,7 @@
 #include "rpc/Rpc.h"
 #include "store/TransactionalStore.h"
 #include "tasks/WorkerIncarnation.h"
+#include "tasks/agent/LateStarts.h"
 #include "tasks/agent/RunOrderTracker.h"
 #include "tasks/agent/StartLimit.h"
 #include "tasks/agent/WorkerCandidates.h"
@@ -116,6 +117,9 @@
   bool hasWorker() const;
   /// Records how the current worker incarnation has ended.
   void noteEnd();
+  /// Whether it is too early to report that a run on an absent worker can never
+  /// start: the worker may be about to start again under its id.
+  bool mayStartLate(const RunId &Run, BootInstant Now);
   void applyListing(const WorkerCall &Request, const WorkerRuns &Listing,
                     BootInstant RequestedAt, BootInstant Now);
   bool hasWorkerClock() const;
@@ -184,10 +188,9 @@
   /// Runs whose starts were sent to the current incarnation and not refused,
   /// and whose ends it has not listed.
   std::set<RunId> StartsSent;
-  /// Starts that an earlier incarnation did not acknowledge. They can reach the
-  /// current one if it has the same id.
-  std::set<RunId> UnansweredStarts;
+  LateStarts Late;
   std::uint64_t DepartedWorkers = 0;
+  BootInstant DepartedAt{};
   bool Listed = false;
   BootInstant ListedAt{};
   /// Judged by the listings of the current worker.
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -13,6 +13,10 @@
 
 /// Delay before a candidate is called again.
 constexpr Milliseconds CandidateRetryDelay{150};
+/// How long a worker that has ended may take to start again under its id and
+/// bar the starts that it did not answer. Longer waits would leave jobs without
+/// a run for the 3 s that their callers accept.
+constexpr Milliseconds SameIdRestartWait{2000};
 
 } // namespace
 
@@ -169,6 +173,8 @@
   Worker = Heartbeat;
   ColdUntil = Candidate.HeardAt + Heartbeat.ColdRemaining;
   Link = Candidate.Link;
+  for (const RunId &Run : Late.reaching(Heartbeat.Id, BootClock::now()))
+    Lease.requireBar(Run);
   ReportPending = true;
   ReportNeeded.notify_all();
   StateChanged.notify_all();
@@ -188,6 +194,14 @@
     LostRuns.insert({Run.task(), Run.run()});
   for (const wire::RunEnd &End : Ends)
     LostRuns.erase({End.task(), End.run()});
+  const BootInstant Now = BootClock::now();
+  for (const RunId &Run : StartsSent)
+    if (!isRunning(Run))
+      Late.addUnanswered(Worker->Id, Run, Now);
+}
+
+bool TaskAgent::mayStartLate(const RunId &Run, BootInstant Now) {
+  return Now - DepartedAt < SameIdRestartWait && Late.isUnanswered(Run, Now);
 }
 
 void TaskAgent::departWorker(const std::string &Proof) {
@@ -203,6 +217,7 @@
   // coordinator treats the runs of the last incarnation as ended.
   Worker->Draining = true;
   WorkerName = departedIncarnation(Settings.Node, ++DepartedWorkers);
+  DepartedAt = BootClock::now();
   Listed = true;
   ListedAt = BootInstant::max();
   ReportPending = true;
@@ -211,9 +226,6 @@
 }
 
 void TaskAgent::resetWorkerState() {
-  UnansweredStarts = std::move(StartsSent);
-  for (const wire::RunStatus &Run : Running)
-    UnansweredStarts.erase({Run.task(), Run.run()});
   Lease.resetWorker();
   Running.clear();
   Ends.clear();
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -82,9 +82,10 @@
   /// Requeues all runs on workers of \p Node, whose agent has orders for none
   /// of them and gets none.
   void expireLeases(const NodeId &Node, const ClockReading &Now);
-  /// Returns the runs that expired leases have ended since the last call and
-  /// that the worker never listed. Their starts may still be on their way and
-  /// must be barred before the worker gets a lease again.
+  /// Returns the runs that have ended since the last call with their leases or
+  /// their worker, and that the worker never listed. Their starts may still be
+  /// on their way and must be barred before a worker of the node gets a lease
+  /// again.
   std::vector<RunName> takeGivenUp();
 
   /// Marks jobs with new checkpoints as dirty, at most once per checkpoint
--- a/src/tasks/coordination/JobTrackerCrashes.cpp
+++ b/src/tasks/coordination/JobTrackerCrashes.cpp
@@ -95,6 +95,9 @@
                                    .add("run", Task.Run)
                                    .add("was", Task.Worker)
                                    .add("now", Incarnation));
+      // An agent that was restarted does not know the starts before it.
+      if (!Task.Listed)
+        GivenUp.emplace_back(toText(At.Job->name(At.Task)), Task.Run);
       Task.Worker = Incarnation;
       Task.Listed = false;
       Task.StopRequested = true;
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -350,8 +350,14 @@
       Session.HasNewReport = false;
     }
   }
-  for (const auto &[Report, ReceivedAt] : Received)
+  for (const auto &[Report, ReceivedAt] : Received) {
     Tracker.applyReport(Report, {ReceivedAt, Time.UnixMs});
+    const std::vector<RunName> GivenUp = Tracker.takeGivenUp();
+    if (GivenUp.empty())
+      continue;
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    noteGivenUp(Sessions[NodeId(Report.node())], GivenUp, Now);
+  }
 }
 
 void TaskCoordinator::decide(BootInstant Now) {
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -113,7 +113,9 @@
   /// leases have expired.
   void expireLeases(const NodeId &Node, WorkerSession &Session,
                     const ClockReading &Now);
-  void noteGivenUp(WorkerSession &Session, BootInstant Now);
+  /// Lets the agent of a session bar the runs \p GivenUp.
+  static void noteGivenUp(WorkerSession &Session,
+                          const std::vector<RunName> &GivenUp, BootInstant Now);
   /// Returns the lowest order revision of a term, which is above those of all
   /// earlier terms.
   static std::uint64_t firstRevision(Epoch Term);
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -145,7 +145,7 @@
     return;
   Stats.count("lapsed_reports");
   Tracker.applyReport(Session.Report, Now);
-  noteGivenUp(Session, Now.Boot);
+  noteGivenUp(Session, Tracker.takeGivenUp(), Now.Boot);
 }
 
 void TaskCoordinator::expireLeases(const NodeId &Node, WorkerSession &Session,
@@ -157,11 +157,13 @@
   Tracker.expireLeases({Node, WorkerIncarnation(Session.Report.worker()),
                         Current, std::numeric_limits<std::uint64_t>::max()},
                        Now);
-  noteGivenUp(Session, Now.Boot);
+  noteGivenUp(Session, Tracker.takeGivenUp(), Now.Boot);
 }
 
-void TaskCoordinator::noteGivenUp(WorkerSession &Session, BootInstant Now) {
-  for (const RunName &Run : Tracker.takeGivenUp())
+void TaskCoordinator::noteGivenUp(WorkerSession &Session,
+                                  const std::vector<RunName> &GivenUp,
+                                  BootInstant Now) {
+  for (const RunName &Run : GivenUp)
     if (Session.Bars.size() < MaxBars)
       Session.Bars[Run] = Now + LateStartTimeout;
 }
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -648,6 +648,96 @@
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.9", 4}));
 }
 
+// Guards against a task that runs twice because the bars that the coordinator
+// named before the agent knew its worker are forgotten.
+TEST(TaskAgent, GivesNoLeaseBeforeBarsThatCameBeforeItsWorker) {
+  Agent->stop();
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Deadline = Milliseconds(0);
+    Worker.RefusesStops = true;
+  }
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Last.Clear();
+    wire::RunKey &Bar = *Orders.add_bars();
+    Bar.set_task("j.0.0.9");
+    Bar.set_run(4);
+  }
+  startAgent();
+  awaitReports();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.clear_bars();
+  }
+  awaitReports();
+  Agent->onHeartbeat(heartbeat(7, 1));
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#7"; }));
+  awaitReports();
+  const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+  LONGS_EQUAL(0, Worker.Deadline.count());
+}
+
+// Guards against a task that runs twice because a start that a worker did not
+// answer is carried out by its next incarnation under the same id.
+TEST(TaskAgent, BarsUnansweredStartsOnTheNextIncarnationUnderTheId) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.LosesStarts = true;
+    Worker.RefusesStops = true;
+  }
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return starts() == 1; }));
+  endWorker();
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Refuses = false;
+    Worker.RefusesStops = false;
+    Worker.Deadline = Milliseconds(0);
+  }
+  restartWorker(9);
+  CHECK_TRUE(waitUntil([&] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Deadline.count() > 0;
+  }));
+  LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
+}
+
+// Guards against a task that runs twice because a start that a worker did not
+// answer is reported as barred while the worker starts again under its id.
+TEST(TaskAgent, ReportsAnUnansweredStartOfAnEndedWorkerAsBarredOnlyLater) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.LosesStarts = true;
+    Worker.RefusesStops = true;
+  }
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return starts() == 1; }));
+  endWorker();
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  const Instant Begin = monotonicNow();
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_worker("n1/none#1");
+    Orders.set_revision(2);
+    Orders.clear_starts();
+    wire::RunKey &Stop = *Orders.add_stops();
+    Stop.set_task("j.0.0.0");
+    Stop.set_run(1);
+    wire::RunKey &Other = *Orders.add_stops();
+    Other.set_task("j.0.0.1");
+    Other.set_run(1);
+  }
+  // The worker never got the other one.
+  CHECK_TRUE(waitUntil([&] { return last().refusals_size() == 1; }));
+  STRCMP_EQUAL("j.0.0.1", last().refusals(0).task().c_str());
+  CHECK_TRUE(waitUntil([&] { return last().refusals_size() == 2; }));
+  CHECK(monotonicNow() - Begin > Milliseconds(1500));
+}
+
 TEST(TaskAgent, RepeatsTheSessionThatTheCoordinatorSends) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
--- a/tests/tasks/coordination/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -331,6 +331,8 @@
   Tracker.plan({New}, Config, Now);
   LONGS_EQUAL(1, Tracker.ordersFor(New).stops_size());
   LONGS_EQUAL(wire::TASK_PLACED, job("j").task(0).Phase);
+  // Its start may be on its way to a later incarnation.
+  LONGS_EQUAL(1, Tracker.takeGivenUp().size());
   wire::RunRefusal &Refusal = *New.add_refusals();
   Refusal.set_task("j.0.0.0");
   Refusal.set_run(1);
