Take as an instance id only what can be a name and a header

A heartbeat's path is percent-decoded text. An id with a line break or a blank would have gone into the Expected-Instance header of the agent's calls, and one with '/' or '#' into the names of incarnations. Codec.RefusesMalformedHeartbeats fails with the check taken back.

--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -161,7 +161,10 @@
         R"({"service":"s","address":"a","sequence":1,"state":"ready"})"})
     CHECK(ResultCode::MalformedRequest ==
           readHeartbeat("i", Text).error().Code);
-  CHECK_FALSE(readHeartbeat("", HeartbeatJson).has_value());
+  for (const std::string &Id :
+       {std::string(), std::string("i-1 "), std::string("i\r\nX: 1"),
+        std::string("i#1"), std::string("a/b"), std::string(65, 'i')})
+    CHECK_FALSE(readHeartbeat(Id, HeartbeatJson).has_value());
 }
 
 // Guards against another writer's heartbeat that names a real worker: its
