Extend an expired lease only after the coordinator has applied the report of it

Cause: the coordinator ends the runs of a `lapsed` report in its next round and only then names the starts that may still be on their way. The answer to that report does not name them, and the agent extended the lease as soon as the worker answered, so that a late start found a lease. Besides, the agent barred after an expiry only the starts that it had sent itself: one of an earlier agent, which it was ordered to resolve but had not sent, was missing, and its pending stop was forgotten with the orders.

Evidence: by reading; no run outside the unit tests has shown it. Both tests below are red with their part of the change taken back.

Change: answers carry the sequence number of the agent's last report that has been applied, with the bars that follow. After a `lapsed` report no lease is given before an answer that covers it. What the agent bars after an expiry includes all starts that it has orders for and that may be at the worker. Answers of an earlier release carry no number and are not waited for.

Tests: TaskAgent.GivesNoLeaseBeforeItsReportOfExpiredLeasesIsApplied, .BarsAStartOfAnEarlierAgentAfterAnExpiry, TaskCoordinator.TellsWhichReportItHasApplied.

--- a/src/tasks/agent/RunOrderTracker.cpp
+++ b/src/tasks/agent/RunOrderTracker.cpp
@@ -137,6 +137,15 @@
   return Known != Runs.end() && Known->second.State == OrderState::Starting;
 }
 
+std::set<RunId> RunOrderTracker::unresolved() const {
+  std::set<RunId> Unresolved;
+  for (const auto &[Run, Order] : Runs)
+    if (Order.State == OrderState::Stopping ||
+        (Order.State == OrderState::Starting && Order.MayBeAtWorker))
+      Unresolved.insert(Run);
+  return Unresolved;
+}
+
 std::vector<wire::RunRefusal> RunOrderTracker::refusals() const {
   std::vector<wire::RunRefusal> Refusals;
   for (const auto &[Run, Order] : Runs) {
--- a/src/tasks/agent/RunOrderTracker.h
+++ b/src/tasks/agent/RunOrderTracker.h
@@ -63,6 +63,10 @@
   /// no stop was ordered.
   bool isStartPending(const RunId &Run) const;
 
+  /// Returns the runs whose starts this agent or another may have sent and that
+  /// are not known to have started or to be barred.
+  std::set<RunId> unresolved() const;
+
   /// Returns the runs that have not started and never will.
   std::vector<wire::RunRefusal> refusals() const;
 
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -188,6 +188,7 @@
     voidStarts("leases expired");
     Report.set_lapsed_epoch(Term.value());
     Report.set_lapsed_revision(Orders.revision());
+    Lease.awaitApplied(Sequence);
   }
   if (!Worker)
     return Report;
@@ -238,6 +239,10 @@
     Late.addNamed({Run.task(), Run.run()}, Now);
     Lease.requireBar({Run.task(), Run.run()});
   }
+  // Coordinators of an earlier release do not tell what they have applied.
+  Lease.noteApplied(NewOrders.has_applied_sequence()
+                        ? NewOrders.applied_sequence()
+                        : Sequence);
   // The coordinator may have given up the runs of earlier orders meanwhile.
   if (Lease.hasGrantRunOut(Now))
     voidStarts("grant ran out");
@@ -425,6 +430,9 @@
   HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
   std::set<RunId> Sent = Late.reaching(Worker->Id, Now);
   Sent.insert(StartsSent.begin(), StartsSent.end());
+  // An earlier agent may have sent these.
+  const std::set<RunId> Unresolved = RunOrders.unresolved();
+  Sent.insert(Unresolved.begin(), Unresolved.end());
   Lease.applyListing(RequestedAt, Known, Sent);
   queueOrders();
   if (HasNews) {
--- a/src/tasks/agent/WorkerLease.cpp
+++ b/src/tasks/agent/WorkerLease.cpp
@@ -77,6 +77,11 @@
     Known->second = false;
 }
 
+void WorkerLease::noteApplied(std::uint64_t Sequence) {
+  if (Sequence >= AwaitedReport)
+    AwaitedReport = 0;
+}
+
 void WorkerLease::resetWorker() {
   ToBar.clear();
   Barred.clear();
--- a/src/tasks/agent/WorkerLease.h
+++ b/src/tasks/agent/WorkerLease.h
@@ -4,6 +4,7 @@
 #include "baobabcove/Clock.h"
 #include "tasks/agent/RunOrderTracker.h"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
@@ -52,8 +53,16 @@
   void noteBarred(const RunId &Run);
   void noteBarFailed(const RunId &Run);
 
+  /// Stops extensions until the coordinator has applied the report \p Sequence,
+  /// by which it may give up runs whose starts it then names as bars.
+  void awaitApplied(std::uint64_t Sequence) { AwaitedReport = Sequence; }
+  /// Records that the coordinator has applied the report \p Sequence.
+  void noteApplied(std::uint64_t Sequence);
+
   /// Whether extensions are stopped.
-  bool isBarring() const { return AwaitsListing || !ToBar.empty(); }
+  bool isBarring() const {
+    return AwaitsListing || AwaitedReport > 0 || !ToBar.empty();
+  }
 
   /// Forgets the bars of the last worker incarnation.
   void resetWorker();
@@ -67,6 +76,8 @@
   bool IsResolved = false;
   bool AwaitsListing = false;
   BootInstant AwaitsListingSince{};
+  /// Number of the report that has to be applied first; zero for none.
+  std::uint64_t AwaitedReport = 0;
   /// Runs that must be barred, with whether a stop is on its way.
   std::map<RunId, bool> ToBar;
   std::set<RunId> Barred;
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -345,6 +345,8 @@
           applyExpiry(Session, {Session.CalledAt, Time.UnixMs});
         else
           Received.emplace_back(Session.Report, Session.CalledAt);
+        Session.AppliedSequence = Session.Report.sequence();
+        Session.AppliedAgent = Session.Report.agent_life();
       } else if (HasExpired)
         expireLeases(Node, Session, Time);
       Session.HasNewReport = false;
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -90,6 +90,8 @@
   }
   addBars(Replied, Now, Reply);
   Replied.GrantedAt = Now;
+  Reply.set_applied_sequence(
+      Replied.AppliedAgent == agentOf(Report) ? Replied.AppliedSequence : 0);
   Reply.set_agent_session(Replied.Agents.sessionFor(Report));
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
--- a/src/tasks/coordination/WorkerSession.h
+++ b/src/tasks/coordination/WorkerSession.h
@@ -26,6 +26,10 @@
   BootInstant OtherAgentCalledAt{};
   /// Whether the report has not been processed yet.
   bool HasNewReport = false;
+  /// Sequence number of the last report that was processed, and the agent
+  /// incarnation that made it.
+  std::uint64_t AppliedSequence = 0;
+  std::uint64_t AppliedAgent = 0;
   /// When the runs of the worker were last allowed to continue.
   BootInstant GrantedAt{};
   /// When the agent's last call arrived.
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -738,6 +738,72 @@
   CHECK(monotonicNow() - Begin > Milliseconds(1500));
 }
 
+// Guards against a task that runs twice because the lease is extended between a
+// report of expired leases and the coordinator's bars that follow from it.
+TEST(TaskAgent, GivesNoLeaseBeforeItsReportOfExpiredLeasesIsApplied) {
+  grant(Milliseconds(300));
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_applied_sequence(0);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  silenceWorker();
+  CHECK_TRUE(waitUntil([&] { return last().lapsed(); }));
+  grant(Milliseconds(6000));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Silent = false;
+    Worker.Deadline = Milliseconds(0);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  awaitReports();
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    LONGS_EQUAL(0, Worker.Deadline.count());
+  }
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_applied_sequence(Last.sequence());
+  }
+  CHECK_TRUE(waitUntil([&] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Deadline.count() > 0;
+  }));
+}
+
+// Guards against a task that runs twice because a start of an earlier agent,
+// which this one never sent, is not barred after the leases have expired.
+TEST(TaskAgent, BarsAStartOfAnEarlierAgentAfterAnExpiry) {
+  grant(Milliseconds(300));
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Silent = true;
+    Worker.RefusesStops = true;
+  }
+  CHECK_TRUE(waitUntil([&] { return last().lapsed(); }));
+  order(1, true);
+  CHECK_TRUE(waitUntil([&] { return last().lapsed_revision() == 1; }));
+  grant(Milliseconds(6000));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.Silent = false;
+    Worker.Deadline = Milliseconds(0);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  awaitReports();
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    LONGS_EQUAL(0, Worker.Deadline.count());
+    Worker.RefusesStops = false;
+  }
+  CHECK_TRUE(waitUntil([&] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Deadline.count() > 0;
+  }));
+  LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
+}
+
 TEST(TaskAgent, RepeatsTheSessionThatTheCoordinatorSends) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -131,6 +131,20 @@
   WithoutConfig.stop();
 }
 
+// Guards against a lease that is extended before the agent knows the bars that
+// follow from its report of expired leases.
+TEST(TaskCoordinator, TellsWhichReportItHasApplied) {
+  const std::uint64_t Rounds = counter("rounds");
+  (void)Coordinator.attend(reportOf("n1", 1, 1));
+  CHECK_TRUE(waitUntil([&] { return counter("rounds") > Rounds + 1; }));
+  LONGS_EQUAL(1, Coordinator.attend(reportOf("n1", 2, 1)).applied_sequence());
+  // Of another agent incarnation it has applied none.
+  wire::TaskReport Other = reportOf("n1", 3, 1);
+  Other.set_agent_incarnation(77);
+  CHECK_TRUE(Coordinator.attend(Other).has_applied_sequence());
+  LONGS_EQUAL(0, Coordinator.attend(Other).applied_sequence());
+}
+
 // Pattern: each publication wakes the waiting calls of all agents, so that a
 // small instance has no processor time left for its rounds.
 TEST(TaskCoordinator, WakesOnlyTheAgentWhoseOrdersChanged) {
