Forget the reports of an earlier term of the coordinator role

Cause: the sessions of the agents outlived a term in which the takeover had failed, or that ended and began within one round. The next takeover applied their reports again, although another coordinator may have placed runs on later workers since.

Change: sessions belong to a term; the first report or takeover of another term drops them. A coordinator whose term has changed steps down before it takes over.

Test: TaskCoordinator.ForgetsReportsOfAnEarlierTerm, red with the change taken back.

--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -156,6 +156,8 @@
       stepDown();
     return;
   }
+  if (Term->Number != Current && Current != Epoch())
+    stepDown();
   if (Term->Number != Current && !takeOver(*Term)) {
     std::this_thread::sleep_for(TakeoverRetryDelay);
     return;
@@ -228,6 +230,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
     Current = Term.Number;
+    beginSessions(Term.Number);
   }
   const auto All = Kv.list(keys::All);
   const auto Pages =
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -123,6 +123,9 @@
   /// \p CalledAt.
   void limitStarts(const wire::TaskReport &Report, BootInstant CalledAt,
                    wire::TaskOrders &Reply) const;
+  /// Forgets the agents and reports of any other term: what another coordinator
+  /// has decided since is not in them. The mutex must be locked.
+  void beginSessions(Epoch Term);
   void run();
   void round();
   bool takeOver(const CoordinatorTerm &Term);
@@ -154,6 +157,8 @@
   bool HasWork = false;
   Inbox Incoming;
   std::map<NodeId, WorkerSession> Sessions;
+  /// The term in which the sessions began.
+  Epoch SessionsTerm;
   std::uint64_t LastAgentSession = 0;
   /// The services of the newest configuration and of all jobs. An agent takes
   /// no worker of any other.
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -48,6 +48,7 @@
   const auto TermAtCall = Role ? Role->term() : std::nullopt;
   if (Stopping || !TermAtCall || !Role->isConfirmed())
     return NotCoordinating;
+  beginSessions(TermAtCall->Number);
   WorkerSession &Session = Sessions[Node];
   const BootInstant CalledAt = BootClock::now();
   Session.CalledAt = CalledAt;
@@ -170,6 +171,14 @@
       Session.Bars[Run] = Now + LateStartTimeout;
 }
 
+void TaskCoordinator::beginSessions(Epoch Term) {
+  if (SessionsTerm == Term)
+    return;
+  SessionsTerm = Term;
+  notifyAllSessions();
+  Sessions.clear();
+}
+
 std::uint64_t TaskCoordinator::firstRevision(Epoch Term) {
   return Term.value() * RevisionsPerTerm;
 }
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -131,6 +131,35 @@
   WithoutConfig.stop();
 }
 
+// Guards against runs that are stopped, and blamed for a crash, because of
+// reports from before another process held the role. The takeover fails here
+// before the role is lost.
+TEST(TaskCoordinator, ForgetsReportsOfAnEarlierTerm) {
+  Coordinator.stop();
+  TaskCoordinator Late(
+      Kv, {}, [] { return OperatorSnapshot(); }, Stats);
+  Kv.setFault(FakeKv::Fault::Unavailable);
+  Late.start(Role);
+  CHECK_TRUE(Late.attend(reportOf("n1", 1, 1)).coordinating());
+  std::this_thread::sleep_for(Milliseconds(300));
+  const Epoch First = Role.term()->Number;
+  Role.lose(First);
+  std::this_thread::sleep_for(Milliseconds(300));
+  Kv.setFault(FakeKv::Fault::None);
+  for (std::int64_t Lease = 1; Lease < 5; ++Lease)
+    Kv.expire(Lease);
+  Role.noteRoleKey(false);
+  CHECK_TRUE(waitUntil([&] {
+    const auto Term = Role.term();
+    return Term && First < Term->Number &&
+           Late.dump().find("\"epoch\":" +
+                            std::to_string(Term->Number.value())) !=
+               std::string::npos;
+  }));
+  CHECK(Late.dump().find("\"agents\":0") != std::string::npos);
+  Late.stop();
+}
+
 // Guards against a lease that is extended before the agent knows the bars that
 // follow from its report of expired leases.
 TEST(TaskCoordinator, TellsWhichReportItHasApplied) {
