Take any other start time in a worker's own list as its replacement

Cause: only a later start time in the answer of the agent's worker counted as its replacement. An earlier one was ignored while the worker still counted as answering, so that no candidate was ever taken.

Change: the agent's worker has answered for itself under its own start time before, so that any other one is another incarnation's. A list without one proves nothing.

Test: TaskAgent.ReplacesAWorkerThatStartedAgainAtAnEarlierTime, red with the change taken back.

--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -386,12 +386,12 @@
   const std::lock_guard<std::mutex> Lock(Mutex);
   if (Request.Incarnation != WorkerName || !Worker)
     return;
-  if (Listing.StartedAtMs > Worker->StartedAtMs) {
-    departWorker("it has started again under its id");
+  if (Listing.StartedAtMs != Worker->StartedAtMs) {
+    // A list without a start time says nothing about the worker.
+    if (Listing.StartedAtMs != 0)
+      departWorker("another one answers under its id");
     return;
   }
-  if (Listing.StartedAtMs != Worker->StartedAtMs)
-    return;
   if (!Liveness.answers())
     LOG4CPLUS_INFO(logOf("worker"), LogFields("worker answers again")
                                         .add("worker", WorkerName)
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -804,6 +804,14 @@
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
 }
 
+// Guards against an agent that takes no worker any more after one has started
+// again under its id while the clock was set back.
+TEST(TaskAgent, ReplacesAWorkerThatStartedAgainAtAnEarlierTime) {
+  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+  restartWorker(5);
+  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#5"; }));
+}
+
 TEST(TaskAgent, RepeatsTheSessionThatTheCoordinatorSends) {
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
