Soak the task daemons with late and foreign messages

A heartbeat of another writer replaced a worker, and no soak sent one: its workers spoke for themselves alone, answered all calls, came back under a new id, and answered 421 while they were down.

Crashed workers refuse connections. Calls that are left unanswered end without a status: 503 said that nothing was done, also of a write that was carried out.

RunJudge judges TWICE from what the workers see: all runs are compared every 10 ms, and a start after an end as done breaks the rule also if the end is acknowledged only later, unless the worker's lease lapsed in between. One such end stands for all tasks of a gang.

--- a/scripts/task-soak.sh
+++ b/scripts/task-soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Runs the soak of the task daemons with one seed after another: task-soak.sh
 # --seed N --seeds COUNT --seconds S --agents N --entries N --logs FOLDER. The same
-# seed selects the same series of faults. The logs of failed seeds are kept in the
-# folder. Fails when any seed failed.
+# seed selects the same series of faults. Of failed seeds, the logs of all processes
+# and the events that the workers saw (seed-N-fleet) are kept in the folder. Fails
+# when any seed failed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
@@ -23,6 +24,7 @@
   esac
   shift 2
 done
+[ -z "${TASK_SOAK_LOGS:-}" ] || mkdir -p "$TASK_SOAK_LOGS"
 scripts/build.sh >/dev/null
 failed=()
 for ((each = seed; each < seed + seeds; ++each)); do
--- a/tests/support/KvServer.cpp
+++ b/tests/support/KvServer.cpp
@@ -1,7 +1,10 @@
 #include "KvServer.h"
 
+#include "Unanswered.h"
+
 #include "baobabcove/Clock.h"
 
+#include <algorithm>
 #include <sstream>
 #include <thread>
 
@@ -17,6 +20,8 @@
 constexpr std::size_t DoorThreads = 8;
 /// Longer than the callers' timeouts of short calls.
 constexpr Milliseconds Silence{1500};
+/// Most time after which a late write is carried out.
+constexpr int MaxLateMs = 4000;
 constexpr int ConditionFailed = 412;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -45,7 +50,14 @@
 
 } // namespace
 
-KvServer::KvServer() { (void)openDoor(); }
+KvServer::KvServer() : LateThread([this] { carryOutLateWrites(); }) {
+  (void)openDoor();
+}
+
+KvServer::~KvServer() {
+  Stopping = true;
+  LateThread.join();
+}
 
 std::string KvServer::openDoor() {
   Door &Opened = *Doors.emplace_back(std::make_unique<Door>());
@@ -171,14 +183,41 @@
   const Fault Seen = At.Seen;
   if (Seen == Fault::Refuses)
     return jsonResponse(Poco::JSON::Object(), Unavailable);
-  HttpResponse Response;
-  if (Seen != Fault::Silent)
-    Response = answer(Request);
-  if (Seen != Fault::None) {
-    std::this_thread::sleep_for(Silence);
-    return jsonResponse(Poco::JSON::Object(), Unavailable);
+  if (Seen == Fault::None || (Seen == Fault::WritesLate && !postpone(Request)))
+    return answer(Request);
+  if (Seen == Fault::AnswersLost)
+    (void)answer(Request);
+  std::this_thread::sleep_for(Silence);
+  // A status would be read late by a client that was stopped all the while, and
+  // 503 says that nothing was done.
+  throw Unanswered();
+}
+
+bool KvServer::postpone(const HttpRequest &Request) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  if (Request.Path != "/-/kv-txn" || LateDice.oneIn(2))
+    return false;
+  Late.push_back(
+      {monotonicNow() + Milliseconds(LateDice.upTo(MaxLateMs)), Request});
+  return true;
+}
+
+void KvServer::carryOutLateWrites() {
+  while (!Stopping) {
+    std::this_thread::sleep_for(WatchPoll);
+    std::vector<LateWrite> Due;
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      const auto Later = std::stable_partition(
+          Late.begin(), Late.end(),
+          [Now = monotonicNow()](const auto &Each) { return Each.Due > Now; });
+      Due.assign(Later, Late.end());
+      Late.erase(Later, Late.end());
+    }
+    for (const LateWrite &Each : Due)
+      if (answer(Each.Request).Status == HttpResponse().Status)
+        ++LateWrites;
   }
-  return Response;
 }
 
 HttpResponse KvServer::answerLease(const HttpRequest &Request) {
--- a/tests/support/KvServer.h
+++ b/tests/support/KvServer.h
@@ -1,6 +1,8 @@
 #ifndef BAOBABCOVE_TESTS_SUPPORT_KVSERVER_H
 #define BAOBABCOVE_TESTS_SUPPORT_KVSERVER_H
 
+#include "Dice.h"
+
 #include "baobabcove/Clock.h"
 #include "http/HttpServer.h"
 
@@ -10,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <Poco/JSON/Object.h>
@@ -25,13 +28,17 @@
     None,
     /// Calls are refused with 503 and do nothing.
     Refuses,
-    /// Calls do nothing and are not answered in time.
+    /// Calls do nothing and are not answered.
     Silent,
-    /// Calls are carried out and not answered in time.
-    AnswersLost
+    /// Calls are carried out and not answered.
+    AnswersLost,
+    /// About half of the writes are not answered, and are carried out up to
+    /// seconds later if their condition still holds. Other calls are sound.
+    WritesLate
   };
 
   KvServer();
+  ~KvServer();
 
   std::string address() const { return Doors.front()->Server->address(); }
   /// Opens an address of its own for one client, whose number is one less than
@@ -42,6 +49,8 @@
   void put(const std::string &Key, const std::string &Value);
   /// Returns the number of keys that begin with \p Prefix.
   std::size_t count(const std::string &Prefix) const;
+  /// Returns the number of writes that were carried out late.
+  std::size_t lateWrites() const { return LateWrites; }
 
 private:
   struct Item {
@@ -57,6 +66,10 @@
     std::int64_t TtlMs = 0;
     Instant Until{};
   };
+  struct LateWrite {
+    Instant Due{};
+    HttpRequest Request;
+  };
   struct Door {
     std::atomic<Fault> Seen{Fault::None};
     std::unique_ptr<HttpServer> Server;
@@ -65,6 +78,9 @@
 
   HttpResponse answerAt(const Door &At, const HttpRequest &Request);
   HttpResponse answer(const HttpRequest &Request);
+  /// Whether the call is to be carried out late, in which case it is kept.
+  bool postpone(const HttpRequest &Request);
+  void carryOutLateWrites();
   HttpResponse answerLease(const HttpRequest &Request);
   /// Removes the keys of a lease and the lease. The mutex must be locked, so
   /// for the next two.
@@ -83,7 +99,12 @@
   std::int64_t Revision = 1;
   std::int64_t NextLease = 1;
   std::map<std::int64_t, Lease> Leases;
+  Dice LateDice{1};
+  std::vector<LateWrite> Late;
+  std::atomic<std::size_t> LateWrites{0};
+  std::atomic<bool> Stopping{false};
   std::vector<std::unique_ptr<Door>> Doors;
+  std::thread LateThread;
 };
 
 } // namespace baobabcove::testing
--- a/tests/support/TaskDeployment.cpp
+++ b/tests/support/TaskDeployment.cpp
@@ -12,11 +12,14 @@
 constexpr unsigned AgentNetwork = 160;
 constexpr unsigned EntryNetwork = 128;
 
-std::string configText() {
-  return R"({"version":1,"routes":[{"name":"q","host":"jobs.example",
-    "prefix":"/queue/","service":"planner","allow_anonymous":true,
-    "priority":1,"stretch":3.0,"target_latency_ms":1200,"max_attempts":)" +
-         std::to_string(MaxTaskAttempts) + "}]}";
+/// Returns a route for \p Prefix.
+std::string routeText(const std::string &Name, const std::string &Prefix,
+                      const std::string &Service) {
+  return R"({"name":")" + Name + R"(","host":"jobs.example","prefix":")" +
+         Prefix + R"(","service":")" + Service +
+         R"(","allow_anonymous":true,"priority":1,"stretch":3.0,)" +
+         R"("target_latency_ms":1200,"max_attempts":)" +
+         std::to_string(MaxTaskAttempts) + "}";
 }
 
 /// Returns the address of process \p N of a kind. The last byte of the test's
@@ -41,8 +44,9 @@
   return Call;
 }
 
-TaskDeployment::TaskDeployment(std::size_t EntryCount, std::size_t AgentCount) {
-  Store.put("op/config", configText());
+TaskDeployment::TaskDeployment(std::size_t EntryCount, std::size_t AgentCount,
+                               unsigned Seed) {
+  changeConfig(1, 0);
   std::vector<std::string> WorkerIps;
   for (std::size_t N = 0; N < AgentCount; ++N) {
     WorkerIps.push_back(addressOf(AgentNetwork, N));
@@ -56,7 +60,20 @@
         "baobabcove-task-entry", addressOf(EntryNetwork, N), EntryMemoryMb,
         Store.openDoor(),
         N % 3 ? "limits.cpu_share=0.12\n" : "limits.cpu_share=0.5\n"));
-  Fleet = std::make_unique<WorkerFleet>(WorkerIps);
+  Fleet = std::make_unique<WorkerFleet>(WorkerIps, Seed);
+}
+
+void TaskDeployment::changeConfig(int Step, int MoreRoutes) {
+  const std::lock_guard<std::mutex> Lock(ConfigMutex);
+  ConfigVersion += Step;
+  std::string Routes = routeText("q", "/queue/", "planner");
+  for (int R = 0; R < MoreRoutes; ++R) {
+    const std::string Name = "r" + std::to_string(ConfigVersion % 3 + R);
+    Routes +=
+        "," + routeText(Name, "/" + Name + "/", R % 2 ? "planner" : "other");
+  }
+  Store.put("op/config", R"({"version":)" + std::to_string(ConfigVersion) +
+                             R"(,"routes":[)" + Routes + "]}");
 }
 
 void keepLogs(const TaskDeployment &System, const std::string &Name) {
@@ -69,6 +86,8 @@
       std::ofstream(std::string(Folder) + "/" + Name + "-" + Each->ip())
           << From.rdbuf();
     }
+  std::ofstream(std::string(Folder) + "/" + Name + "-fleet")
+      << System.Fleet->events();
 }
 
 } // namespace baobabcove::testing
--- a/tests/support/TaskDeployment.h
+++ b/tests/support/TaskDeployment.h
@@ -8,6 +8,7 @@
 #include "base/HttpClient.h"
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,12 @@
 /// agent. The entries serve one queue.
 class TaskDeployment {
 public:
-  TaskDeployment(std::size_t EntryCount, std::size_t AgentCount);
+  TaskDeployment(std::size_t EntryCount, std::size_t AgentCount,
+                 unsigned Seed = 1);
+
+  /// Writes a configuration whose version is \p Step higher, with the queue and
+  /// \p MoreRoutes others. Thread-safe.
+  void changeConfig(int Step, int MoreRoutes);
 
   KvServer Store;
   std::vector<std::unique_ptr<TaskDaemon>> Agents;
@@ -32,9 +38,14 @@
   std::unique_ptr<WorkerFleet> Fleet;
   /// Number of the first entry's address at the store.
   std::size_t FirstEntryDoor = 0;
+
+private:
+  std::mutex ConfigMutex;
+  int ConfigVersion = 0;
 };
 
-/// Copies the logs of all processes to the folder in TASK_SOAK_LOGS, if set.
+/// Copies the logs of all processes and the events of the workers to the folder
+/// in TASK_SOAK_LOGS, if set.
 void keepLogs(const TaskDeployment &System, const std::string &Name);
 
 } // namespace baobabcove::testing
--- /dev/null
+++ b/tests/support/TaskFaults.h
@@ -0,0 +1,90 @@
+#ifndef BAOBABCOVE_TESTS_SUPPORT_TASKFAULTS_H
+#define BAOBABCOVE_TESTS_SUPPORT_TASKFAULTS_H
+
+#include "Dice.h"
+#include "TaskDeployment.h"
+#include "WorkerMessages.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace baobabcove::testing {
+
+/// One series of faults of a deployment, each of which it heals before the
+/// next. Several of them overlap.
+class TaskFaults {
+public:
+  /// \p ProcessMutex is that of all series, so that two of them never replace
+  /// one process.
+  TaskFaults(TaskDeployment &System, unsigned Seed, std::mutex &ProcessMutex);
+  ~TaskFaults();
+
+  /// Ends the series and waits until its last fault is healed. The thread stays
+  /// until the destructor, since the processes that it started end with it.
+  void finish();
+
+private:
+  using Step = void (TaskFaults::*)();
+
+  void run();
+  void sleep(int Ms);
+
+  TaskDaemon &anyEntry();
+  TaskDaemon &anyAgent();
+  std::size_t anyWorker() { return Random.below(System.Fleet->size()); }
+  std::vector<std::size_t> workers(int OneIn);
+
+  // Processes.
+  void restart(TaskDaemon &Daemon, void (TaskDaemon::*End)());
+  void pause(const TaskDaemon &Daemon, int Ms);
+  void killEntry() { restart(anyEntry(), &TaskDaemon::kill); }
+  void stopEntry() { restart(anyEntry(), &TaskDaemon::stop); }
+  void killAgent() { restart(anyAgent(), &TaskDaemon::kill); }
+  void stopAgent() { restart(anyAgent(), &TaskDaemon::stop); }
+  void pauseEntry() { pause(anyEntry(), 300 + Random.upTo(4500)); }
+  void pauseAgent() { pause(anyAgent(), 300 + Random.upTo(6000)); }
+  void reloadEntry() { anyEntry().signal(SIGHUP); }
+  void reloadAgent() { anyAgent().signal(SIGHUP); }
+  void changeConfig();
+
+  // The store.
+  KvServer::Fault anyStoreFault();
+  /// Sets a fault at the store's addresses of a share of the processes.
+  void faultAtStore(KvServer::Fault Fault, int OneIn, int Ms);
+  void cutEntry();
+  void loseStore();
+  void delayWrites();
+
+  // Workers.
+  void setModes(WorkerFleet::Mode Mode, int Ms);
+  void failWorkers();
+  void stallWorkers();
+  void crashWorkers();
+  void restartWorkers();
+  void leaveWorkers();
+  void drainWorkers();
+  void delayCalls();
+  /// Delayed orders reach workers that have started again under their id.
+  void restartLateWorkers();
+
+  // Messages about workers.
+  using Message = void (WorkerMessages::*)(std::size_t Worker);
+  void sendMessages(Message Sent);
+  void sendForeignHeartbeats();
+  void repeatHeartbeats();
+  void repeatDeregistrations();
+
+  TaskDeployment &System;
+  Dice Random;
+  WorkerMessages Messages;
+  std::mutex &Processes;
+  std::atomic<bool> Stopping{false};
+  std::atomic<bool> Healed{false};
+  std::atomic<bool> Ended{false};
+  std::thread Thread;
+};
+
+} // namespace baobabcove::testing
+
+#endif // BAOBABCOVE_TESTS_SUPPORT_TASKFAULTS_H
--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <sstream>
 
-#include <Poco/JSON/Parser.h>
-
 namespace baobabcove::testing {
 
 namespace {
@@ -14,17 +12,10 @@
 constexpr Milliseconds HeartbeatPeriod{1500};
 constexpr Milliseconds HeartbeatTimeout{300};
 constexpr std::size_t WorkersPerThread = 8;
-constexpr std::size_t ThreadsPerWorker = 4;
-/// Most time that a call may ask to wait for an end.
-constexpr std::int64_t MaxHoldMs = 2000;
-constexpr Milliseconds MaxLease{10000};
-constexpr Milliseconds GangTimeout{4000};
-constexpr Milliseconds FailsAfter{80};
-/// The users' bounds: a job may have nothing running for this long, once no
-/// fault has been near for CalmAfter.
-constexpr Milliseconds MaxIdleWait{3000};
-constexpr Milliseconds CalmAfter{4000};
-constexpr int Conflict = 409;
+/// Calls that are left unanswered occupy a thread each for a while.
+constexpr std::size_t ThreadsPerWorker = 8;
+/// Heartbeats that are kept to be sent again.
+constexpr std::size_t KeptHeartbeats = 24;
 const std::string InstancesPath = "/-/instances/";
 
 std::string textOf(const Poco::JSON::Object &Body) {
@@ -33,22 +24,6 @@
   return Out.str();
 }
 
-HttpResponse respond(const Poco::JSON::Object::Ptr &Body, int Status = 200) {
-  HttpResponse Response;
-  Response.Status = Status;
-  Response.Body = textOf(*Body);
-  return Response;
-}
-
-/// Returns "JOB.OCCURRENCE.STEP" of a task.
-std::string stepOf(const std::string &Task) {
-  return Task.substr(0, Task.rfind('.'));
-}
-
-std::string jobOf(const std::string &Task) {
-  return Task.substr(0, Task.find('.'));
-}
-
 } // namespace
 
 std::string FleetJob::body() const {
@@ -73,20 +48,16 @@
   return textOf(Body);
 }
 
-WorkerFleet::WorkerFleet(const std::vector<std::string> &Addresses) {
+WorkerFleet::WorkerFleet(const std::vector<std::string> &Addresses,
+                         unsigned Seed)
+    : LateDice(Seed) {
   for (std::size_t W = 0; W < Addresses.size(); ++W) {
     Worker &At = *Workers.emplace_back(std::make_unique<Worker>());
     At.Ip = Addresses[W];
     At.Rack = "r" + std::to_string(W / WorkersPerRack);
     At.Agent = std::make_unique<HttpClient>(At.Ip + ":8082");
     beBorn(At);
-    HttpLimits Limits;
-    Limits.Threads = ThreadsPerWorker;
-    auto Served =
-        serveHttp(At.Ip + Port, Limits, [this, &At](const HttpRequest &Call) {
-          return answer(At, Call);
-        });
-    At.Server = std::move(*Served);
+    At.IsUp = serve(At);
   }
   for (std::size_t From = 0; From < Workers.size(); From += WorkersPerThread)
     Threads.emplace_back([this, From] {
@@ -99,6 +70,7 @@
       const Instant Now = monotonicNow();
       const std::lock_guard<std::mutex> Lock(Mutex);
       advance(Now - Last);
+      checkRuns();
       checkWaits();
       Last = Now;
     }
@@ -110,13 +82,31 @@
   Changed.notify_all();
   for (std::thread &Each : Threads)
     Each.join();
+  // Calls that are still handled look at all workers.
+  for (const auto &At : Workers)
+    At->Server.reset();
+}
+
+bool WorkerFleet::serve(Worker &At) {
+  HttpLimits Limits;
+  Limits.Threads = ThreadsPerWorker;
+  auto Served =
+      serveHttp(At.Ip + Port, Limits, [this, &At](const HttpRequest &Call) {
+        return answer(At, Call);
+      });
+  if (Served)
+    At.Server = std::move(*Served);
+  return Served.has_value();
 }
 
 void WorkerFleet::beBorn(Worker &At) {
   static std::uint64_t Births = 0;
-  At.Id = "i-" + std::to_string(++Births);
+  if (!At.KeepsId)
+    At.Id = "i-" + std::to_string(++Births);
+  At.KeepsId = At.IsDraining = false;
   At.BornAt = monotonicNow();
   At.BornMs = wallClockMs();
+  At.LeaseUntil = Instant{};
   At.Sequence = At.Fence = At.LastEnd = 0;
   At.Ends.clear();
   At.Barred.clear();
@@ -132,40 +122,96 @@
   Workers[Which]->Now = Next;
 }
 
-void WorkerFleet::crash(std::size_t Which, Milliseconds Down) {
+void WorkerFleet::setLate(std::size_t Which, bool IsLate) {
   const std::lock_guard<std::mutex> Lock(Mutex);
+  Workers[Which]->IsLate = IsLate;
+}
+
+void WorkerFleet::crash(std::size_t Which, Milliseconds Down, NextId Next) {
   Worker &At = *Workers[Which];
-  At.IsUp = false;
-  At.UpAgain = monotonicNow() + Down;
-  At.Running.clear();
+  std::unique_ptr<HttpServer> Ended;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (!At.IsUp)
+      return;
+    Judge.note("crash " + At.Ip + " " + At.Id);
+    At.IsUp = false;
+    At.IsClosing = true;
+    At.KeepsId = Next == NextId::Same;
+    At.UpAgain = monotonicNow() + Down;
+    At.Running.clear();
+    Ended = std::move(At.Server);
+  }
   Changed.notify_all();
+  // Waits for the calls that it handles, which need the mutex.
+  Ended.reset();
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  At.IsClosing = false;
+}
+
+void WorkerFleet::comeBack(Worker &At) {
+  if (!serve(At))
+    return;
+  beBorn(At);
+  Judge.note("born " + At.Ip + " " + At.Id + "#" + std::to_string(At.BornMs));
 }
 
 void WorkerFleet::restartUnderItsId(std::size_t Which) {
+  crash(Which, Milliseconds(0), NextId::Same);
+}
+
+void WorkerFleet::startDraining(std::size_t Which, Milliseconds Remaining) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Worker &At = *Workers[Which];
-  const std::string Id = At.Id;
-  At.Running.clear();
-  beBorn(At);
-  At.Id = Id;
-  Changed.notify_all();
+  Judge.note("draining " + At.Ip + " " + At.Id);
+  At.IsDraining = true;
+  At.DrainedAt = monotonicNow() + Remaining;
 }
 
-int WorkerFleet::sendChangedHeartbeat(std::size_t Which,
-                                      const HeartbeatChange &Change) {
+int WorkerFleet::sendHeartbeat(Worker &At, const std::string &Id,
+                               const std::string &Body) {
   HttpCall Call;
   Call.Method = "PUT";
+  Call.Path = InstancesPath + Id;
+  Call.Body = Body;
   Call.Timeout = HeartbeatTimeout;
+  const auto Answer = At.Agent->call(Call);
+  return Answer ? Answer->Status : 0;
+}
+
+int WorkerFleet::sendChangedHeartbeat(std::size_t Which,
+                                      const HeartbeatChange &Change) {
+  std::string Id;
+  std::string Text;
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
-    std::string Id = Workers[Which]->Id;
-    Object Body = heartbeat(*Workers[Which]);
+    Worker &At = *Workers[Which];
+    Id = At.Id;
+    Object Body = heartbeat(At);
     Change(Id, *Body);
-    Call.Path = InstancesPath + Id;
-    Call.Body = textOf(*Body);
+    Text = textOf(*Body);
+    Judge.note("changed heartbeat to " + At.Ip + " " + Id + " " + Text);
   }
-  const auto Answer = Workers[Which]->Agent->call(Call);
-  return Answer ? Answer->Status : 0;
+  return sendHeartbeat(*Workers[Which], Id, Text);
+}
+
+int WorkerFleet::sendRawHeartbeat(std::size_t Which, const std::string &Id,
+                                  const std::string &Bytes) {
+  return sendHeartbeat(*Workers[Which], Id, Bytes);
+}
+
+int WorkerFleet::repeatHeartbeat(std::size_t Which, std::size_t Age) {
+  SentHeartbeat Repeated;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Worker &At = *Workers[Which];
+    if (Age >= At.Sent.size())
+      return 0;
+    Repeated = At.Sent[Age];
+    Judge.note("repeated heartbeat to " + At.Ip + " " + Repeated.Id + " " +
+               Repeated.Body);
+  }
+  return sendHeartbeat(*Workers[Which], Repeated.Id, Repeated.Body);
 }
 
 void WorkerFleet::announceEnd(std::size_t Which, const std::string &Id) {
@@ -173,6 +219,14 @@
   Call.Method = "DELETE";
   Call.Path = InstancesPath + Id;
   Call.Timeout = HeartbeatTimeout;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Worker &At = *Workers[Which];
+    Judge.note("deregistration to " + At.Ip + " " + Id);
+    if (std::find(At.Departed.begin(), At.Departed.end(), Id) ==
+        At.Departed.end())
+      At.Departed.push_back(Id);
+  }
   (void)Workers[Which]->Agent->call(Call);
 }
 
@@ -181,6 +235,15 @@
   return Workers[Which]->Id;
 }
 
+std::string WorkerFleet::addressOf(std::size_t Which) const {
+  return Workers[Which]->Ip + Port;
+}
+
+std::vector<std::string> WorkerFleet::departedIds(std::size_t Which) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Workers[Which]->Departed;
+}
+
 std::size_t WorkerFleet::workerOf(const std::string &Task) const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   const auto Holder =
@@ -215,7 +278,7 @@
 std::string WorkerFleet::violations() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::string Text;
-  for (const std::string &Each : Found)
+  for (const std::string &Each : Judge.violations())
     Text += Each + "\n";
   return Text;
 }
@@ -225,273 +288,22 @@
   return LongestWait;
 }
 
-void WorkerFleet::report(const std::string &Violation) {
-  constexpr std::size_t MaxReports = 20;
-  if (Found.size() < MaxReports)
-    Found.push_back(std::to_string(wallClockMs()) + " " + Violation);
-}
-
-WorkerFleet::Object WorkerFleet::reply(const Worker &At) const {
-  Object Body = new Poco::JSON::Object;
-  Body->set("clock_ms", clockMs(At));
-  Body->set("born", At.BornMs);
-  return Body;
-}
-
-HttpResponse WorkerFleet::answer(Worker &At, const HttpRequest &Request) {
-  constexpr int WrongInstance = 421;
-  const Object Order =
-      Poco::JSON::Parser().parse(Request.Body).extract<Object>();
-  std::unique_lock<std::mutex> Lock(Mutex);
-  if (!At.IsUp || Request.header("expected-instance") != At.Id)
-    return respond(reply(At), WrongInstance);
-  const auto Token = Order->optValue<std::uint64_t>("fencing_token", 0);
-  if (Token < At.Fence) {
-    Object Body = reply(At);
-    Body->set("reason", "fence");
-    return respond(Body, Conflict);
-  }
-  At.Fence = Token;
-  if (const auto Deadline = Order->optValue<std::int64_t>("deadline_ms", 0))
-    At.LeaseUntil =
-        std::max(At.LeaseUntil, std::min(At.BornAt + Milliseconds(Deadline),
-                                         monotonicNow() + MaxLease));
-  if (Request.Path == "/-/run-start")
-    return start(At, Order);
-  if (Request.Path == "/-/run-stop")
-    return stop(At, Order);
-  return hold(At, Order, Lock);
-}
-
-bool WorkerFleet::hasRoom(const Worker &At, std::int64_t NeedMb,
-                          std::int64_t NeedAccelerators) const {
-  for (const auto &[Task, Each] : At.Running) {
-    NeedMb += Each.MemoryMb;
-    NeedAccelerators += Each.Accelerators;
-  }
-  return NeedMb <= MemoryMb && NeedAccelerators <= Accelerators;
-}
-
-HttpResponse WorkerFleet::start(Worker &At, const Object &Order) {
-  const auto Task = Order->getValue<std::string>("task");
-  const auto Number = Order->getValue<std::uint64_t>("run");
-  Run Next;
-  Next.Number = Number;
-  Next.Since = monotonicNow();
-  std::istringstream Payload(Order->optValue<std::string>("spec", ""));
-  Payload >> Next.WorkMs >> Next.GangSize >> Next.MemoryMb >> Next.Accelerators;
-  const auto Refuse = [&](const char *Why) {
-    Object Body = reply(At);
-    Body->set("reason", Why);
-    return respond(Body, Conflict);
-  };
-  if (const auto Here = At.Running.find(Task); Here != At.Running.end())
-    return Here->second.Number == Number ? respond(reply(At)) : Refuse("old");
-  if (const auto Bar = At.Barred.find(Task);
-      Bar != At.Barred.end() && Number <= Bar->second)
-    return Refuse("old");
-  if (At.LeaseUntil < monotonicNow())
-    return Refuse("late");
-  if (!hasRoom(At, Next.MemoryMb, Next.Accelerators))
-    return Refuse("room");
-  for (const auto &Other : Workers)
-    if (Other->IsUp && Other->Running.count(Task))
-      report("TWICE: " + Task + " starts as run " + std::to_string(Number) +
-             " on " + At.Ip + " and runs on " + Other->Ip);
-  if (AcknowledgedDone.count(Task))
-    report("TWICE: " + Task + " starts again after its end was acknowledged");
-  At.Running[Task] = Next;
-  ++Starts[Task];
-  return respond(reply(At));
-}
-
-HttpResponse WorkerFleet::stop(Worker &At, const Object &Order) {
-  const auto Task = Order->getValue<std::string>("task");
-  const auto Number = Order->getValue<std::uint64_t>("run");
-  const auto Here = At.Running.find(Task);
-  if (Here != At.Running.end() && Here->second.Number <= Number)
-    end(At, Task, "stopped");
-  std::uint64_t &Bar = At.Barred[Task];
-  Bar = std::max(Bar, Number);
-  return respond(reply(At));
-}
-
-HttpResponse WorkerFleet::hold(Worker &At, const Object &Order,
-                               std::unique_lock<std::mutex> &Lock) {
-  const auto Through = Order->optValue<std::uint64_t>("acked_through", 0);
-  while (!At.Ends.empty() && At.Ends.front().Number <= Through) {
-    if (At.Ends.front().How == "done")
-      AcknowledgedDone.insert(At.Ends.front().Task);
-    At.Ends.pop_front();
-  }
-  const std::string Id = At.Id;
-  const Milliseconds Wait(
-      std::min(Order->optValue<std::int64_t>("wait_ms", 0), MaxHoldMs));
-  Changed.wait_for(Lock, Wait, [&] {
-    return Stopping || !At.IsUp || At.Id != Id || !At.Ends.empty();
-  });
-  Poco::JSON::Array::Ptr Running = new Poco::JSON::Array;
-  for (const auto &[Task, Each] : At.Running) {
-    Poco::JSON::Array::Ptr Row = new Poco::JSON::Array;
-    Row->add(Task);
-    Row->add(Each.Number);
-    Row->add("");
-    Row->add(Each.WorkMs > 0 ? 100 * Each.DoneMs / Each.WorkMs : 0);
-    Running->add(Row);
-  }
-  Poco::JSON::Array::Ptr Ends = new Poco::JSON::Array;
-  for (const End &Each : At.Ends) {
-    Poco::JSON::Array::Ptr Row = new Poco::JSON::Array;
-    Row->add(Each.Number);
-    Row->add(Each.Task);
-    Row->add(Each.Run);
-    Row->add(Each.How);
-    Row->add("");
-    Ends->add(Row);
-  }
-  Object Body = reply(At);
-  Body->set("running", Running);
-  Body->set("ended", Ends);
-  return respond(Body);
-}
-
-void WorkerFleet::end(Worker &At, const std::string &Task,
-                      const std::string &How) {
-  // Task may be the key of the run, which stays valid with the extracted node.
-  const auto Ended = At.Running.extract(Task);
-  const std::uint64_t Number = Ended.mapped().Number;
-  const bool IsGang = Ended.mapped().GangSize > 1;
-  At.Ends.push_back({++At.LastEnd, Task, Number, How});
-  std::uint64_t &Bar = At.Barred[Task];
-  Bar = std::max(Bar, Number);
-  if (How == "done")
-    Jobs[jobOf(Task)].Done.insert(Task);
-  if (IsGang && How != "done" && How != "broken")
-    endGang(stepOf(Task), Number, "broken");
-  Changed.notify_all();
-}
-
-void WorkerFleet::endGang(const std::string &Step, std::uint64_t Number,
-                          const std::string &How) {
-  for (const auto &At : Workers) {
-    std::vector<std::string> Members;
-    for (const auto &[Task, Each] : At->Running)
-      if (stepOf(Task) == Step && Each.Number == Number)
-        Members.push_back(Task);
-    for (const std::string &Member : Members)
-      end(*At, Member, How);
-  }
-}
-
-void WorkerFleet::endAll(Worker &At, const std::string &How) {
-  while (!At.Running.empty())
-    end(At, At.Running.begin()->first, How);
-}
-
-void WorkerFleet::advance(Milliseconds Passed) {
-  const Instant Now = monotonicNow();
-  for (const auto &At : Workers) {
-    if (!At->IsUp && Now >= At->UpAgain)
-      beBorn(*At);
-    if (At->LeaseUntil < Now)
-      endAll(*At, "lapsed");
-    std::vector<std::pair<std::string, std::string>> Ended;
-    for (auto &[Task, Each] : At->Running) {
-      if (At->Now == Mode::Fails && Now - Each.Since > FailsAfter)
-        Ended.emplace_back(Task, "failed");
-      else if (Each.GangSize == 1 && At->Now != Mode::Stalls)
-        Each.DoneMs += Passed.count();
-      if (Each.GangSize == 1 && Each.DoneMs >= Each.WorkMs)
-        Ended.emplace_back(Task, "done");
-    }
-    for (const auto &[Task, How] : Ended)
-      if (At->Running.count(Task))
-        end(*At, Task, How);
-  }
-  advanceGangs(Passed);
-}
-
-void WorkerFleet::advanceGangs(Milliseconds Passed) {
-  const Instant Now = monotonicNow();
-  struct Gang {
-    std::vector<Run *> Members;
-    bool IsStalled = false;
-    Instant Oldest = Instant::max();
-  };
-  std::map<std::pair<std::string, std::uint64_t>, Gang> Gangs;
-  for (const auto &At : Workers)
-    for (auto &[Task, Each] : At->Running)
-      if (Each.GangSize > 1) {
-        Gang &Known = Gangs[{stepOf(Task), Each.Number}];
-        Known.Members.push_back(&Each);
-        Known.IsStalled |= At->Now == Mode::Stalls;
-        Known.Oldest = std::min(Known.Oldest, Each.Since);
-      }
-  for (const auto &[Name, Known] : Gangs) {
-    const bool IsWhole =
-        Known.Members.size() == Known.Members.front()->GangSize;
-    if (!IsWhole && Known.Members.front()->DoneMs == 0 &&
-        Now - Known.Oldest > GangTimeout) {
-      endGang(Name.first, Name.second, "alone");
-      continue;
-    }
-    if (!IsWhole || Known.IsStalled)
-      continue;
-    for (Run *Member : Known.Members)
-      Member->DoneMs += Passed.count();
-    if (Known.Members.front()->DoneMs >= Known.Members.front()->WorkMs)
-      endGang(Name.first, Name.second, "done");
-  }
+std::string WorkerFleet::events() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::string Text;
+  for (const std::string &Each : Judge.events())
+    Text += Each + "\n";
+  return Text;
 }
 
-bool WorkerFleet::isHalfUsed() const {
-  std::int64_t Memory = 0;
-  std::int64_t Used = 0;
-  for (const auto &At : Workers)
-    for (const auto &[Task, Each] : At->Running) {
-      Memory += Each.MemoryMb;
-      Used += Each.Accelerators;
-    }
-  const auto Count = std::int64_t(Workers.size());
-  return 2 * Memory >= Count * MemoryMb || 2 * Used >= Count * Accelerators;
-}
-
-bool WorkerFleet::isRoomTwiceOver(const FleetJob &Job) const {
-  std::size_t Places = 0;
-  for (const auto &At : Workers) {
-    if (!At->IsUp || At->Now != Mode::Sound)
-      continue;
-    for (std::int64_t Tasks = 1;
-         hasRoom(*At, Tasks * Job.MemoryMb, Tasks * Job.Accelerators) &&
-         Tasks <= Accelerators;
-         ++Tasks)
-      ++Places;
-  }
-  return Places >= 2 * (Job.IsGang ? Job.Tasks : 1);
+void WorkerFleet::note(const std::string &Event) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Judge.note(Event);
 }
 
-void WorkerFleet::checkWaits() {
-  const Instant Now = monotonicNow();
-  const bool IsCalm = Now - LastFault > CalmAfter && !isHalfUsed();
-  std::set<std::string> Active;
-  for (const auto &At : Workers)
-    for (const auto &[Task, Each] : At->Running)
-      Active.insert(jobOf(Task));
-  for (auto &[Id, Known] : Jobs) {
-    if (!IsCalm || Known.Done.size() >= Known.Job.Tasks || Active.count(Id) ||
-        Known.Job.Tasks == 0 || !isRoomTwiceOver(Known.Job)) {
-      Known.IdleSince = Now;
-      continue;
-    }
-    if (Known.IdleSince == Instant{})
-      Known.IdleSince = Now;
-    LongestWait = std::max(LongestWait, Now - Known.IdleSince);
-    if (Now - Known.IdleSince > MaxIdleWait && !Known.IsReported) {
-      Known.IsReported = true;
-      report("LOST: job " + Id + " of " + std::to_string(Known.Job.Tasks) +
-             " tasks has nothing running although there is room twice over");
-    }
-  }
+std::size_t WorkerFleet::lateStarts() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return LateStarts;
 }
 
 WorkerFleet::Object WorkerFleet::heartbeat(Worker &At) const {
@@ -508,7 +320,11 @@
   Body->set("zone", "z");
   Body->set("version", "v1");
   Body->set("slots", Accelerators);
-  Body->set("state", "ready");
+  Body->set("state", At.IsDraining ? "draining" : "ready");
+  if (At.IsDraining)
+    Body->set("remaining_ms",
+              std::max(std::int64_t(0),
+                       std::int64_t((At.DrainedAt - monotonicNow()).count())));
   Body->set("cold_remaining_ms", 0);
   Body->set("capacity", Capacity);
   Body->set("labels", Labels);
@@ -517,22 +333,21 @@
 }
 
 void WorkerFleet::sendHeartbeats(std::size_t From, std::size_t To) {
-  const Instant Next = monotonicNow() + HeartbeatPeriod;
+  const Instant NextRound = monotonicNow() + HeartbeatPeriod;
   for (std::size_t W = From; W < To; ++W) {
-    HttpCall Call;
+    SentHeartbeat Next;
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       Worker &At = *Workers[W];
       if (!At.IsUp)
         continue;
-      Call.Method = "PUT";
-      Call.Path = InstancesPath + At.Id;
-      Call.Body = textOf(*heartbeat(At));
+      Next = {At.Id, textOf(*heartbeat(At))};
+      At.Sent.push_front(Next);
+      At.Sent.resize(std::min(At.Sent.size(), KeptHeartbeats));
     }
-    Call.Timeout = HeartbeatTimeout;
-    (void)Workers[W]->Agent->call(Call);
+    (void)sendHeartbeat(*Workers[W], Next.Id, Next.Body);
   }
-  while (!Stopping && monotonicNow() < Next)
+  while (!Stopping && monotonicNow() < NextRound)
     std::this_thread::sleep_for(Tick);
 }
 
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -1,6 +1,9 @@
 #ifndef BAOBABCOVE_TESTS_SUPPORT_WORKERFLEET_H
 #define BAOBABCOVE_TESTS_SUPPORT_WORKERFLEET_H
 
+#include "Dice.h"
+#include "RunJudge.h"
+
 #include "baobabcove/Clock.h"
 #include "base/HttpClient.h"
 #include "http/HttpServer.h"
@@ -58,16 +61,25 @@
   };
 
   /// \p Addresses are loopback addresses on which agents run.
-  explicit WorkerFleet(const std::vector<std::string> &Addresses);
+  explicit WorkerFleet(const std::vector<std::string> &Addresses,
+                       unsigned Seed = 1);
   ~WorkerFleet();
 
   std::size_t size() const { return Workers.size(); }
   void setMode(std::size_t Worker, Mode Next);
-  /// Ends a worker with all its runs. It comes back empty after \p Down.
-  void crash(std::size_t Worker, Milliseconds Down);
-
+  /// While set, a worker leaves about a third of all orders and listings
+  /// unanswered, and carries them out up to seconds later, after newer calls.
+  void setLate(std::size_t Worker, bool IsLate);
+
+  enum class NextId { New, Same };
+  /// Ends a worker with all its runs and all its connections. It refuses new
+  /// ones until it comes back empty after \p Down.
+  void crash(std::size_t Worker, Milliseconds Down, NextId Next = NextId::New);
   /// Starts a worker again at once, without runs and under the id that it had.
   void restartUnderItsId(std::size_t Worker);
+  /// Lets a worker report that it terminates in \p Remaining. The caller ends
+  /// it.
+  void startDraining(std::size_t Worker, Milliseconds Remaining);
 
   /// Changes the id and the body of a heartbeat.
   using HeartbeatChange =
@@ -76,9 +88,19 @@
   /// an earlier incarnation would. Returns the status of the answer; zero
   /// without one.
   int sendChangedHeartbeat(std::size_t Worker, const HeartbeatChange &Change);
+  /// Sends any bytes as a heartbeat of \p Id to the worker's agent.
+  int sendRawHeartbeat(std::size_t Worker, const std::string &Id,
+                       const std::string &Bytes);
+  /// Sends one of the worker's last heartbeats again, of this incarnation or of
+  /// an earlier one. \p Age counts from the newest, and may be too high.
+  int repeatHeartbeat(std::size_t Worker, std::size_t Age);
   /// Announces to the worker's agent that the instance \p Id terminates.
   void announceEnd(std::size_t Worker, const std::string &Id);
   std::string idOf(std::size_t Worker) const;
+  std::string addressOf(std::size_t Worker) const;
+  /// Returns the ids of the worker's earlier incarnations that have announced
+  /// their end. The present id is one of them if it was kept.
+  std::vector<std::string> departedIds(std::size_t Worker) const;
 
   /// Returns the worker that runs a task, or size().
   std::size_t workerOf(const std::string &Task) const;
@@ -93,6 +115,12 @@
   bool isDone(const std::string &Id) const;
   /// Returns what has broken a rule, one line each.
   std::string violations() const;
+  /// Records an event for the trace of a failure.
+  void note(const std::string &Event);
+  /// Returns what the workers saw and what was noted, one line each.
+  std::string events() const;
+  /// Returns the number of starts that were carried out late, with a new run.
+  std::size_t lateStarts() const;
   /// Returns the longest time for which a job had nothing running in calm
   /// although there was room for it twice over.
   Milliseconds longestIdleWait() const;
@@ -113,6 +141,20 @@
     std::string Task;
     std::uint64_t Run = 0;
     std::string How;
+    bool IsGang = false;
+    RunJudge::EventNumber At = 0;
+    /// The worker's lease has lapsed since the end.
+    bool HasLapsed = false;
+  };
+  /// A call that was left unanswered.
+  struct LateCall {
+    Instant Due{};
+    std::int64_t BornMs = 0;
+    HttpRequest Request;
+  };
+  struct SentHeartbeat {
+    std::string Id;
+    std::string Body;
   };
   struct Worker {
     std::string Ip;
@@ -123,13 +165,23 @@
     std::uint64_t Fence = 0;
     std::uint64_t LastEnd = 0;
     Mode Now = Mode::Sound;
+    bool IsLate = false;
     bool IsUp = true;
+    /// Its server is being ended.
+    bool IsClosing = false;
+    bool KeepsId = false;
     Instant UpAgain{};
+    bool IsDraining = false;
+    Instant DrainedAt{};
     Instant LeaseUntil{};
     Instant BornAt{};
     std::map<std::string, Run> Running;
     std::map<std::string, std::uint64_t> Barred;
     std::deque<End> Ends;
+    std::vector<LateCall> Late;
+    /// The last heartbeats, the newest first.
+    std::deque<SentHeartbeat> Sent;
+    std::vector<std::string> Departed;
     std::unique_ptr<HttpServer> Server;
     std::unique_ptr<HttpClient> Agent;
   };
@@ -142,29 +194,40 @@
   };
   using Object = Poco::JSON::Object::Ptr;
 
+  /// Answers a call, or leaves it unanswered.
   HttpResponse answer(Worker &At, const HttpRequest &Request);
+  bool postpone(Worker &At, const HttpRequest &Request);
+  void carryOutLateCalls(Worker &At);
+  /// \p Lock is null for a late call, which does not wait for ends.
+  HttpResponse carryOut(Worker &At, const HttpRequest &Request,
+                        std::unique_lock<std::mutex> *Lock);
   HttpResponse start(Worker &At, const Object &Order);
   HttpResponse stop(Worker &At, const Object &Order);
   HttpResponse hold(Worker &At, const Object &Order,
-                    std::unique_lock<std::mutex> &Lock);
+                    std::unique_lock<std::mutex> *Lock);
   Object reply(const Worker &At) const;
   void end(Worker &At, const std::string &Task, const std::string &How);
   void endAll(Worker &At, const std::string &How);
   void endGang(const std::string &Step, std::uint64_t Number,
                const std::string &How);
   void beBorn(Worker &At);
+  /// Starts the server of a worker. Returns false if its address is in use.
+  bool serve(Worker &At);
+  void comeBack(Worker &At);
+  int sendHeartbeat(Worker &At, const std::string &Id, const std::string &Body);
   std::int64_t clockMs(const Worker &At) const;
   bool hasRoom(const Worker &At, std::int64_t MemoryMb,
                std::int64_t Accelerators) const;
   void advance(Milliseconds Passed);
   void advanceGangs(Milliseconds Passed);
+  void lapse(Worker &At);
+  void checkRuns();
   void checkWaits();
   bool isRoomTwiceOver(const FleetJob &Job) const;
   bool isHalfUsed() const;
   /// Returns the next heartbeat of a worker.
   Object heartbeat(Worker &At) const;
   void sendHeartbeats(std::size_t From, std::size_t To);
-  void report(const std::string &Violation);
 
   mutable std::mutex Mutex;
   std::condition_variable Changed;
@@ -172,9 +235,10 @@
   std::vector<std::unique_ptr<Worker>> Workers;
   std::map<std::string, Accepted> Jobs;
   std::map<std::string, std::size_t> Starts;
-  /// Tasks whose end "done" was acknowledged.
-  std::set<std::string> AcknowledgedDone;
-  std::vector<std::string> Found;
+  RunJudge Judge;
+  Dice LateDice;
+  std::size_t StartCount = 0;
+  std::size_t LateStarts = 0;
   Instant LastFault{};
   Milliseconds LongestWait{0};
   std::vector<std::thread> Threads;
--- /dev/null
+++ b/tests/support/WorkerFleetRuns.cpp
@@ -0,0 +1,186 @@
+/// \file
+/// The part of WorkerFleet that moves time on: runs, gangs, and waits of jobs.
+
+#include "WorkerFleet.h"
+
+#include <algorithm>
+
+namespace baobabcove::testing {
+
+namespace {
+
+constexpr Milliseconds GangTimeout{4000};
+constexpr Milliseconds FailsAfter{80};
+/// The users' bounds: a job may have nothing running for this long, once no
+/// fault has been near for CalmAfter.
+constexpr Milliseconds MaxIdleWait{3000};
+constexpr Milliseconds CalmAfter{4000};
+
+std::string jobOf(const std::string &Task) {
+  return Task.substr(0, Task.find('.'));
+}
+
+} // namespace
+
+void WorkerFleet::end(Worker &At, const std::string &Task,
+                      const std::string &How) {
+  // Task may be the key of the run, which stays valid with the extracted node.
+  const auto Ended = At.Running.extract(Task);
+  const std::uint64_t Number = Ended.mapped().Number;
+  const bool IsGang = Ended.mapped().GangSize > 1;
+  End &Kept = At.Ends.emplace_back(
+      End{++At.LastEnd, Task, Number, How, IsGang, 0, false});
+  std::uint64_t &Bar = At.Barred[Task];
+  Bar = std::max(Bar, Number);
+  if (How == "done") {
+    Jobs[jobOf(Task)].Done.insert(Task);
+    Kept.At = Judge.noteDone({Task, Number, At.Ip, IsGang});
+  } else {
+    Judge.note(How + " " + Task + " run " + std::to_string(Number) + " on " +
+               At.Ip);
+  }
+  if (IsGang && How != "done" && How != "broken")
+    endGang(stepOf(Task), Number, "broken");
+  Changed.notify_all();
+}
+
+void WorkerFleet::endGang(const std::string &Step, std::uint64_t Number,
+                          const std::string &How) {
+  for (const auto &At : Workers) {
+    std::vector<std::string> Members;
+    for (const auto &[Task, Each] : At->Running)
+      if (stepOf(Task) == Step && Each.Number == Number)
+        Members.push_back(Task);
+    for (const std::string &Member : Members)
+      end(*At, Member, How);
+  }
+}
+
+void WorkerFleet::endAll(Worker &At, const std::string &How) {
+  while (!At.Running.empty())
+    end(At, At.Running.begin()->first, How);
+}
+
+void WorkerFleet::lapse(Worker &At) {
+  endAll(At, "lapsed");
+  for (End &Each : At.Ends)
+    Each.HasLapsed = true;
+}
+
+void WorkerFleet::checkRuns() {
+  std::vector<SeenRun> Seen;
+  for (const auto &At : Workers)
+    for (const auto &[Task, Each] : At->Running)
+      Seen.push_back({Task, Each.Number, At->Ip, Each.GangSize > 1});
+  Judge.checkOverlaps(Seen);
+}
+
+void WorkerFleet::advance(Milliseconds Passed) {
+  const Instant Now = monotonicNow();
+  for (const auto &At : Workers) {
+    if (!At->IsUp && !At->IsClosing && Now >= At->UpAgain)
+      comeBack(*At);
+    carryOutLateCalls(*At);
+    if (At->LeaseUntil < Now)
+      lapse(*At);
+    std::vector<std::pair<std::string, std::string>> Ended;
+    for (auto &[Task, Each] : At->Running) {
+      if (At->Now == Mode::Fails && Now - Each.Since > FailsAfter)
+        Ended.emplace_back(Task, "failed");
+      else if (Each.GangSize == 1 && At->Now != Mode::Stalls)
+        Each.DoneMs += Passed.count();
+      if (Each.GangSize == 1 && Each.DoneMs >= Each.WorkMs)
+        Ended.emplace_back(Task, "done");
+    }
+    for (const auto &[Task, How] : Ended)
+      if (At->Running.count(Task))
+        end(*At, Task, How);
+  }
+  advanceGangs(Passed);
+}
+
+void WorkerFleet::advanceGangs(Milliseconds Passed) {
+  const Instant Now = monotonicNow();
+  struct Gang {
+    std::vector<Run *> Members;
+    bool IsStalled = false;
+    Instant Oldest = Instant::max();
+  };
+  std::map<std::pair<std::string, std::uint64_t>, Gang> Gangs;
+  for (const auto &At : Workers)
+    for (auto &[Task, Each] : At->Running)
+      if (Each.GangSize > 1) {
+        Gang &Known = Gangs[{stepOf(Task), Each.Number}];
+        Known.Members.push_back(&Each);
+        Known.IsStalled |= At->Now == Mode::Stalls;
+        Known.Oldest = std::min(Known.Oldest, Each.Since);
+      }
+  for (const auto &[Name, Known] : Gangs) {
+    const bool IsWhole =
+        Known.Members.size() == Known.Members.front()->GangSize;
+    if (!IsWhole && Known.Members.front()->DoneMs == 0 &&
+        Now - Known.Oldest > GangTimeout) {
+      endGang(Name.first, Name.second, "alone");
+      continue;
+    }
+    if (!IsWhole || Known.IsStalled)
+      continue;
+    for (Run *Member : Known.Members)
+      Member->DoneMs += Passed.count();
+    if (Known.Members.front()->DoneMs >= Known.Members.front()->WorkMs)
+      endGang(Name.first, Name.second, "done");
+  }
+}
+
+bool WorkerFleet::isHalfUsed() const {
+  std::int64_t Memory = 0;
+  std::int64_t Used = 0;
+  for (const auto &At : Workers)
+    for (const auto &[Task, Each] : At->Running) {
+      Memory += Each.MemoryMb;
+      Used += Each.Accelerators;
+    }
+  const auto Count = std::int64_t(Workers.size());
+  return 2 * Memory >= Count * MemoryMb || 2 * Used >= Count * Accelerators;
+}
+
+bool WorkerFleet::isRoomTwiceOver(const FleetJob &Job) const {
+  std::size_t Places = 0;
+  for (const auto &At : Workers) {
+    if (!At->IsUp || At->IsDraining || At->Now != Mode::Sound)
+      continue;
+    for (std::int64_t Tasks = 1;
+         hasRoom(*At, Tasks * Job.MemoryMb, Tasks * Job.Accelerators) &&
+         Tasks <= Accelerators;
+         ++Tasks)
+      ++Places;
+  }
+  return Places >= 2 * (Job.IsGang ? Job.Tasks : 1);
+}
+
+void WorkerFleet::checkWaits() {
+  const Instant Now = monotonicNow();
+  const bool IsCalm = Now - LastFault > CalmAfter && !isHalfUsed();
+  std::set<std::string> Active;
+  for (const auto &At : Workers)
+    for (const auto &[Task, Each] : At->Running)
+      Active.insert(jobOf(Task));
+  for (auto &[Id, Known] : Jobs) {
+    if (!IsCalm || Known.Done.size() >= Known.Job.Tasks || Active.count(Id) ||
+        Known.Job.Tasks == 0 || !isRoomTwiceOver(Known.Job)) {
+      Known.IdleSince = Now;
+      continue;
+    }
+    if (Known.IdleSince == Instant{})
+      Known.IdleSince = Now;
+    LongestWait = std::max(LongestWait, Now - Known.IdleSince);
+    if (Now - Known.IdleSince > MaxIdleWait && !Known.IsReported) {
+      Known.IsReported = true;
+      Judge.report(
+          "LOST: job " + Id + " of " + std::to_string(Known.Job.Tasks) +
+          " tasks has nothing running although there is room twice over");
+    }
+  }
+}
+
+} // namespace baobabcove::testing
