--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -155,10 +155,11 @@
       Wrong += Id + " is shown as " + Client.stateOf(Id) + "\n";
   std::printf(
       "seed %d: %zu jobs, open ones ended after %lld ms, longest idle wait "
-      "%lld ms, %zu late starts, %zu late writes\n",
+      "%lld ms, %zu late starts, %zu late writes\n%s\n",
       Seed, Client.Accepted.size(), static_cast<long long>(Took.count()),
       static_cast<long long>(System.Fleet->longestIdleWait().count()),
-      System.Fleet->lateStarts(), System.Store.lateWrites());
+      System.Fleet->lateStarts(), System.Store.lateWrites(),
+      System.Fleet->eventCounts().c_str());
   const std::string Broken = System.Fleet->violations();
   if (!AllEnded || !Wrong.empty() || !Broken.empty())
     keepLogs(System, "seed-" + std::to_string(Seed));
--- a/tests/support/RunJudge.cpp
+++ b/tests/support/RunJudge.cpp
@@ -28,9 +28,17 @@
 void RunJudge::note(const std::string &Text) {
   if (Events.size() == MaxEvents)
     Events.pop_front();
+  ++Counts[Text.substr(0, Text.find(' '))];
   Events.push_back(std::to_string(wallClockMs()) + " " + Text);
 }
 
+std::string RunJudge::eventCounts() const {
+  std::string Text;
+  for (const auto &[Kind, Count] : Counts)
+    Text += (Text.empty() ? "" : ", ") + Kind + " " + std::to_string(Count);
+  return Text;
+}
+
 void RunJudge::report(const std::string &Violation) {
   note("VIOLATION " + Violation);
   if (Found.size() < MaxReports)
--- a/tests/support/RunJudge.h
+++ b/tests/support/RunJudge.h
@@ -45,6 +45,8 @@
 
   const std::vector<std::string> &violations() const { return Found; }
   const std::deque<std::string> &events() const { return Events; }
+  /// Returns how many events began with each word.
+  std::string eventCounts() const;
 
 private:
   struct Start {
@@ -62,6 +64,7 @@
   std::map<std::string, Instant> Overlaps;
   std::vector<std::string> Found;
   std::deque<std::string> Events;
+  std::map<std::string, std::size_t> Counts;
 };
 
 /// Returns "JOB.OCCURRENCE.STEP" of a task.
--- a/tests/support/TaskDeployment.cpp
+++ b/tests/support/TaskDeployment.cpp
@@ -72,6 +72,8 @@
     Routes +=
         "," + routeText(Name, "/" + Name + "/", R % 2 ? "planner" : "other");
   }
+  if (Fleet)
+    Fleet->note("config version " + std::to_string(ConfigVersion));
   Store.put("op/config", R"({"version":)" + std::to_string(ConfigVersion) +
                              R"(,"routes":[)" + Routes + "]}");
 }
--- a/tests/support/TaskFaults.cpp
+++ b/tests/support/TaskFaults.cpp
@@ -80,10 +80,10 @@
 void TaskFaults::restart(TaskDaemon &Daemon, void (TaskDaemon::*End)()) {
   const int Pause = Random.upTo(2500);
   const std::lock_guard<std::mutex> Lock(Processes);
-  System.Fleet->note("end process " + Daemon.ip());
+  System.Fleet->note("terminate process " + Daemon.ip());
   (Daemon.*End)();
   sleep(Pause);
-  System.Fleet->note("start process " + Daemon.ip());
+  System.Fleet->note("restart process " + Daemon.ip());
   Daemon.start();
 }
 
@@ -95,6 +95,11 @@
   System.Fleet->note("continue process " + Daemon.ip());
 }
 
+void TaskFaults::reload(const TaskDaemon &Daemon) {
+  System.Fleet->note("reload process " + Daemon.ip());
+  Daemon.signal(SIGHUP);
+}
+
 void TaskFaults::changeConfig() {
   constexpr int MaxStep = 7;
   constexpr int MaxRoutes = 4;
--- a/tests/support/TaskFaults.h
+++ b/tests/support/TaskFaults.h
@@ -38,14 +38,15 @@
   // Processes.
   void restart(TaskDaemon &Daemon, void (TaskDaemon::*End)());
   void pause(const TaskDaemon &Daemon, int Ms);
+  void reload(const TaskDaemon &Daemon);
   void killEntry() { restart(anyEntry(), &TaskDaemon::kill); }
   void stopEntry() { restart(anyEntry(), &TaskDaemon::stop); }
   void killAgent() { restart(anyAgent(), &TaskDaemon::kill); }
   void stopAgent() { restart(anyAgent(), &TaskDaemon::stop); }
   void pauseEntry() { pause(anyEntry(), 300 + Random.upTo(4500)); }
   void pauseAgent() { pause(anyAgent(), 300 + Random.upTo(6000)); }
-  void reloadEntry() { anyEntry().signal(SIGHUP); }
-  void reloadAgent() { anyAgent().signal(SIGHUP); }
+  void reloadEntry() { reload(anyEntry()); }
+  void reloadAgent() { reload(anyAgent()); }
   void changeConfig();
 
   // The store.
--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -190,13 +190,14 @@
     Object Body = heartbeat(At);
     Change(Id, *Body);
     Text = textOf(*Body);
-    Judge.note("changed heartbeat to " + At.Ip + " " + Id + " " + Text);
+    Judge.note("foreign heartbeat to " + At.Ip + " " + Id + " " + Text);
   }
   return sendHeartbeat(*Workers[Which], Id, Text);
 }
 
 int WorkerFleet::sendRawHeartbeat(std::size_t Which, const std::string &Id,
                                   const std::string &Bytes) {
+  note("unreadable heartbeat to " + Workers[Which]->Ip + " " + Id);
   return sendHeartbeat(*Workers[Which], Id, Bytes);
 }
 
@@ -296,6 +297,11 @@
   return Text;
 }
 
+std::string WorkerFleet::eventCounts() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Judge.eventCounts();
+}
+
 void WorkerFleet::note(const std::string &Event) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Judge.note(Event);
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -119,6 +119,8 @@
   void note(const std::string &Event);
   /// Returns what the workers saw and what was noted, one line each.
   std::string events() const;
+  /// Returns how many of these events there were of each kind.
+  std::string eventCounts() const;
   /// Returns the number of starts that were carried out late, with a new run.
   std::size_t lateStarts() const;
   /// Returns the longest time for which a job had nothing running in calm
--- a/tests/support/WorkerMessages.cpp
+++ b/tests/support/WorkerMessages.cpp
@@ -39,8 +39,8 @@
 }
 
 void WorkerMessages::repeatHeartbeat(std::size_t Worker) {
-  constexpr int MaxAge = 23;
-  (void)Fleet.repeatHeartbeat(Worker, std::size_t(1 + Random.upTo(MaxAge)));
+  constexpr std::size_t MaxAge = 23;
+  (void)Fleet.repeatHeartbeat(Worker, 1 + Random.below(MaxAge));
 }
 
 void WorkerMessages::repeatDeregistration(std::size_t Worker) {
