--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -183,6 +183,10 @@
         "labels", "sequence", "cold_remaining_ms", "remaining_ms", "born",
         "clock_ms"})
     for (const char *Value : {"null", "true", "1.5", "-1", "[1]", "{}"}) {
+      // Only these are not promised to be whole numbers.
+      if (std::string(Value) == "1.5" &&
+          std::string(Name).find("remaining_ms") != std::string::npos)
+        continue;
       auto Body = *platform::parseObject(HeartbeatJson);
       Body->set(Name, Poco::Dynamic::Var::parse(Value));
       CHECK_FALSE(readHeartbeat("i-1", platform::toText(*Body)).has_value());
