--- a/src/tasks/agent/WorkerCandidates.cpp
+++ b/src/tasks/agent/WorkerCandidates.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <utility>
 
 #include <arpa/inet.h>
 
@@ -33,10 +34,7 @@
   const auto Known = find(Heartbeat);
   if (Known == Candidates.end()) {
     if (Candidates.size() == MaxCandidates)
-      Candidates.erase(std::min_element(Candidates.begin(), Candidates.end(),
-                                        [](const auto &One, const auto &Other) {
-                                          return One.HeardAt < Other.HeardAt;
-                                        }));
+      Candidates.erase(leastLikely());
     Candidates.push_back({Heartbeat, Now, nullptr, ""});
     return;
   }
@@ -94,6 +92,19 @@
   Known->Doubt = Candidate.Doubt;
 }
 
+std::vector<WorkerCandidate>::iterator WorkerCandidates::leastLikely() {
+  return std::min_element(
+      Candidates.begin(), Candidates.end(),
+      [this](const WorkerCandidate &One, const WorkerCandidate &Other) {
+        const auto Likelihood = [this](const WorkerCandidate &Each) {
+          return std::make_pair(isServiceNamed(Each.Heartbeat.Service) &&
+                                    Each.Doubt.empty(),
+                                Each.HeardAt);
+        };
+        return Likelihood(One) < Likelihood(Other);
+      });
+}
+
 std::vector<WorkerCandidate>::iterator
 WorkerCandidates::find(const WorkerHeartbeat &Heartbeat) {
   return std::find_if(Candidates.begin(), Candidates.end(),
--- a/src/tasks/agent/WorkerCandidates.h
+++ b/src/tasks/agent/WorkerCandidates.h
@@ -30,7 +30,7 @@
 class WorkerCandidates {
 public:
   /// Records a heartbeat. The newest of a candidate counts. When there are
-  /// too many candidates, drops the one that was heard of the longest ago.
+  /// too many candidates, drops the least likely one.
   void add(const WorkerHeartbeat &Heartbeat, BootInstant Now);
 
   /// Removes a candidate, and returns it with its newest heartbeat.
@@ -54,6 +54,9 @@
 
 private:
   std::vector<WorkerCandidate>::iterator find(const WorkerHeartbeat &Heartbeat);
+  /// Returns the candidate to drop: one without a named service or that did not
+  /// answer before others, then the one that was heard of the longest ago.
+  std::vector<WorkerCandidate>::iterator leastLikely();
   bool isServiceNamed(const ServiceName &Service) const;
 
   std::vector<WorkerCandidate> Candidates;
