Tell that a report is applied only with the bars that follow from it

An answer between the note of the number and the bars of a report named the former without the latter, so that the agent could extend its lease too early. The number is noted after the bars. The answer to a report of expired leases waits up to 300 ms for this, as a new worker would otherwise get its first lease one poll later.

--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -344,12 +344,11 @@
           Now - Session.GrantedAt > leaseExpiry() && Busy.count(Node);
       if (Session.HasNewReport) {
         Session.Capacity = capacityOf(Session.Report);
-        if (Session.Report.lapsed())
+        if (Session.Report.lapsed()) {
           applyExpiry(Session, {Session.CalledAt, Time.UnixMs});
-        else
+          noteApplied(Session, Session.Report);
+        } else
           Received.emplace_back(Session.Report, Session.CalledAt);
-        Session.AppliedSequence = Session.Report.sequence();
-        Session.AppliedAgent = Session.Report.agent_life();
       } else if (HasExpired)
         expireLeases(Node, Session, Time);
       Session.HasNewReport = false;
@@ -358,10 +357,10 @@
   for (const auto &[Report, ReceivedAt] : Received) {
     Tracker.applyReport(Report, {ReceivedAt, Time.UnixMs});
     const std::vector<RunName> GivenUp = Tracker.takeGivenUp();
-    if (GivenUp.empty())
-      continue;
     const std::lock_guard<std::mutex> Lock(Mutex);
-    noteGivenUp(Sessions[NodeId(Report.node())], GivenUp, Now);
+    WorkerSession &Session = Sessions[NodeId(Report.node())];
+    noteGivenUp(Session, GivenUp, Now);
+    noteApplied(Session, Report);
   }
 }
 
--- a/src/tasks/coordination/TaskCoordinator.h
+++ b/src/tasks/coordination/TaskCoordinator.h
@@ -116,6 +116,10 @@
   /// Lets the agent of a session bar the runs \p GivenUp.
   static void noteGivenUp(WorkerSession &Session,
                           const std::vector<RunName> &GivenUp, BootInstant Now);
+  /// Records that \p Report, with the bars that follow from it, has been
+  /// applied.
+  static void noteApplied(WorkerSession &Session,
+                          const wire::TaskReport &Report);
   /// Returns the lowest order revision of a term, which is above those of all
   /// earlier terms.
   static std::uint64_t firstRevision(Epoch Term);
--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -20,6 +20,9 @@
 constexpr double PollsPerCore = 360;
 constexpr Milliseconds MinPollInterval{400};
 constexpr Milliseconds MaxPollInterval{1000};
+/// Longest time that the answer to a report of expired leases waits for the
+/// report to be applied. Shorter than the agent's timeout.
+constexpr Milliseconds MaxApplicationWait{300};
 
 /// Whether a report calls for a round at once. An agent sends its news without
 /// a wait; its polls repeat them and are applied by the next periodic round.
@@ -30,6 +33,13 @@
          Known.lapsed() != Report.lapsed();
 }
 
+/// Returns the number of the last report that was applied of the agent
+/// incarnation that made \p Report; zero for none.
+std::uint64_t appliedSequence(const WorkerSession &Session,
+                              const wire::TaskReport &Report) {
+  return Session.AppliedAgent == agentOf(Report) ? Session.AppliedSequence : 0;
+}
+
 } // namespace
 
 Milliseconds pollInterval(std::size_t Agents, double CpuShare) {
@@ -42,7 +52,11 @@
 wire::TaskOrders TaskCoordinator::attend(const wire::TaskReport &Report) {
   Stats.count("attend_calls");
   const NodeId Node(Report.node());
-  const Instant Until = monotonicNow() + Milliseconds(Report.wait_ms());
+  // The agent extends no lease before its report of expired ones is applied.
+  const Instant Until =
+      monotonicNow() +
+      std::max(Milliseconds(Report.wait_ms()),
+               Report.lapsed() ? MaxApplicationWait : Milliseconds(0));
   std::unique_lock<std::mutex> Lock(Mutex);
   wire::TaskOrders NotCoordinating;
   const auto TermAtCall = Role ? Role->term() : std::nullopt;
@@ -70,6 +84,8 @@
   OrdersChanged->wait_until(Lock, Until, [&] {
     Stats.count("attend_wakeups");
     return Stopping || !Role->term() || !IsCurrent ||
+           (Report.lapsed() &&
+            appliedSequence(Sessions[Node], Report) >= Report.sequence()) ||
            (Serving != Epoch() &&
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
             areOrdersFor(Sessions[Node], Report));
@@ -91,8 +107,7 @@
   }
   addBars(Replied, Now, Reply);
   Replied.GrantedAt = Now;
-  Reply.set_applied_sequence(
-      Replied.AppliedAgent == agentOf(Report) ? Replied.AppliedSequence : 0);
+  Reply.set_applied_sequence(appliedSequence(Replied, Report));
   Reply.set_agent_session(Replied.Agents.sessionFor(Report));
   Reply.set_coordinating(true);
   Reply.set_epoch(Term->Number.value());
@@ -171,6 +186,14 @@
       Session.Bars[Run] = Now + LateStartTimeout;
 }
 
+void TaskCoordinator::noteApplied(WorkerSession &Session,
+                                  const wire::TaskReport &Report) {
+  Session.AppliedSequence = Report.sequence();
+  Session.AppliedAgent = Report.agent_life();
+  if (Report.lapsed())
+    Session.OrdersChanged->notify_all();
+}
+
 void TaskCoordinator::beginSessions(Epoch Term) {
   if (SessionsTerm == Term)
     return;
