Wait less for a worker that may start again under its id

With the 0.6 s until refused connections prove an end, the wait of 2 s and the poll that ended it, a task with an unanswered start had nothing running for over 3 s after a crash. The wait is 0.6 s and ends by itself. It now covers the starts that an earlier agent may have sent, and not those that the worker refused: these are forgotten before the listing that may show its end, and are not suspected of having caused it. Found in review; not seen in a run.

TaskAgent.ReportsAnUnansweredStartOfAnEndedWorkerAsBarredOnlyLater bounds the wait from both sides; its lower bound follows the shorter wait.

--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -265,7 +265,8 @@
 void TaskAgent::queueOrders() {
   const BootInstant Now = BootClock::now();
   for (const auto &[Run, Stop] : RunOrders.update(Orders, Now)) {
-    if (!Link && !mayStartLate(Run, Now)) {
+    const bool MayStartLate = awaitsSameId(Now) && Late.isUnanswered(Run, Now);
+    if (!Link && !MayStartLate) {
       RunOrders.markBarred(Run);
       ReportPending = true;
     } else if (!Link || !Queue.tryPush({Stop, Run.first, Run.second}))
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -117,9 +117,9 @@
   bool hasWorker() const;
   /// Records how the current worker incarnation has ended.
   void noteEnd();
-  /// Whether it is too early to report that a run on an absent worker can never
-  /// start: the worker may be about to start again under its id.
-  bool mayStartLate(const RunId &Run, BootInstant Now);
+  /// Whether the worker has ended just now and may start again under its id. It
+  /// is too early then to report that an unanswered start never begins a run.
+  bool awaitsSameId(BootInstant Now) const;
   void applyListing(const WorkerCall &Request, const WorkerRuns &Listing,
                     BootInstant RequestedAt, BootInstant Now);
   bool hasWorkerClock() const;
--- a/src/tasks/agent/TaskAgentOrders.cpp
+++ b/src/tasks/agent/TaskAgentOrders.cpp
@@ -112,6 +112,13 @@
                                    .add("deadline_ms", Request.Deadline.count())
                                    .add("outcome", outcomeName(Answer.Outcome))
                                    .add("why", Answer.Detail));
+  if (Answer.Outcome == CallOutcome::Refused) {
+    // The listing may show that the worker has ended, and this start did not
+    // contribute to that.
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    if (Request.Incarnation == WorkerName)
+      StartsSent.erase(Run);
+  }
   if (Answer.Outcome != CallOutcome::Done)
     listRuns(Milliseconds(0));
   const std::lock_guard<std::mutex> Lock(Mutex);
@@ -120,7 +127,6 @@
   const bool IsListed = isRunning(Run);
   if (Answer.Outcome == CallOutcome::Refused && !MayHaveBeenSent) {
     RunOrders.markRefused(Run, Answer.Reason);
-    StartsSent.erase(Run);
   } else if (Answer.Outcome == CallOutcome::Done || IsListed) {
     RunOrders.markStarted(Run);
     if (!IsListed) {
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -13,10 +13,12 @@
 
 /// Delay before a candidate is called again.
 constexpr Milliseconds CandidateRetryDelay{150};
-/// How long a worker that has ended may take to start again under its id and
-/// bar the starts that it did not answer. Longer waits would leave jobs without
-/// a run for the 3 s that their callers accept.
-constexpr Milliseconds SameIdRestartWait{2000};
+/// How long a worker that is reported as gone may take to start again under its
+/// id and bar the starts that it did not answer. An urgent job has 1.7 s to
+/// spare, of which the end of its worker takes up to 0.6 s to be certain.
+constexpr Milliseconds SameIdRestartWait{600};
+/// How often that wait is checked.
+constexpr Milliseconds SameIdCheckPeriod{100};
 
 } // namespace
 
@@ -93,11 +95,17 @@
     std::uint64_t Departed = 0;
     {
       std::unique_lock<std::mutex> Lock(Mutex);
-      StateChanged.wait(Lock, [&] {
+      const auto HasWork = [&] {
         if (!Stopping && Term != Epoch())
           Due = Candidates.due(BootClock::now());
         return Stopping || !Due.empty();
-      });
+      };
+      while (awaitsSameId(BootClock::now()) &&
+             !StateChanged.wait_for(Lock, SameIdCheckPeriod, HasWork))
+        queueOrders();
+      queueOrders();
+      StateChanged.wait(
+          Lock, [&] { return HasWork() || awaitsSameId(BootClock::now()); });
       if (Stopping)
         return;
       Departed = DepartedWorkers;
@@ -195,13 +203,16 @@
   for (const wire::RunEnd &End : Ends)
     LostRuns.erase({End.task(), End.run()});
   const BootInstant Now = BootClock::now();
-  for (const RunId &Run : StartsSent)
+  // An earlier agent may have sent the unresolved ones.
+  std::set<RunId> Unanswered = RunOrders.unresolved();
+  Unanswered.insert(StartsSent.begin(), StartsSent.end());
+  for (const RunId &Run : Unanswered)
     if (!isRunning(Run))
       Late.addUnanswered(Worker->Id, Run, Now);
 }
 
-bool TaskAgent::mayStartLate(const RunId &Run, BootInstant Now) {
-  return Now - DepartedAt < SameIdRestartWait && Late.isUnanswered(Run, Now);
+bool TaskAgent::awaitsSameId(BootInstant Now) const {
+  return isDeparted(WorkerName) && Now - DepartedAt < SameIdRestartWait;
 }
 
 void TaskAgent::departWorker(const std::string &Proof) {
