--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -70,6 +70,9 @@
   /// While set, a worker leaves about a third of all orders and listings
   /// unanswered, and carries them out up to seconds later, after newer calls.
   void setLate(std::size_t Worker, bool IsLate);
+  /// Sets whether late starts and stops reach the next life of a worker under
+  /// the same id. Otherwise it refuses them, as any other incarnation does.
+  void setLateCallsReachNextLife(bool Reach) { LateCallsReachNextLife = Reach; }
 
   enum class NextId { New, Same };
   /// Ends a worker with all its runs and all its connections. It refuses new
@@ -234,6 +237,7 @@
   mutable std::mutex Mutex;
   std::condition_variable Changed;
   std::atomic<bool> Stopping{false};
+  std::atomic<bool> LateCallsReachNextLife{false};
   std::vector<std::unique_ptr<Worker>> Workers;
   std::map<std::string, Accepted> Jobs;
   std::map<std::string, std::size_t> Starts;
