Replace a worker that started again under its id without reporting it as absent

What callers could see: a task that runs twice. A start reaches a worker that has started again under its id before its agent notices.

The run that it had begun was started elsewhere meanwhile.

Change: the answer that shows the restart also shows the new incarnation, which takes the place of the one before it at once, so that the lost runs are barred on it before they are placed again. Until its first heartbeat it has room for nothing, as its kind may differ.

Test: TaskAgent.ReportsARestartUnderTheIdWithoutAnAbsentWorker.

--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -390,7 +390,7 @@
   if (Listing.StartedAtMs != Worker->StartedAtMs) {
     // A list without a start time says nothing about the worker.
     if (Listing.StartedAtMs != 0)
-      departWorker("another one answers under its id");
+      adoptRestarted(Listing.StartedAtMs);
     return;
   }
   if (!Liveness.answers())
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -111,6 +111,10 @@
   void callCandidate(WorkerCandidate Candidate);
   /// Makes a candidate the agent's worker.
   void adopt(const WorkerCandidate &Candidate);
+  /// Replaces the worker by the incarnation under the same id that has answered
+  /// in its place. Some starts may have reached this one already, so that their
+  /// runs are barred on it before they are started elsewhere.
+  void adoptRestarted(std::int64_t StartedAtMs);
   /// Reports the worker, whose end is proved, as gone.
   void departWorker(const std::string &Proof);
   /// Whether a worker incarnation is known whose end is not proved.
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// Sequence number of a worker that is known by its answers only.
+constexpr std::int64_t NoHeartbeat = -1;
 /// Delay before a candidate is called again.
 constexpr Milliseconds CandidateRetryDelay{150};
 /// How long a worker that is reported as gone may take to start again under its
@@ -50,8 +52,10 @@
 void TaskAgent::updateWorker(const WorkerHeartbeat &Heartbeat) {
   // Another writer may name the worker with a service or an address that is not
   // its own.
-  if (Heartbeat.Sequence <= Worker->Sequence ||
-      Heartbeat.Service != Worker->Service ||
+  const bool HasOtherService = Worker->Sequence == NoHeartbeat
+                                   ? !Candidates.names(Heartbeat.Service)
+                                   : Heartbeat.Service != Worker->Service;
+  if (Heartbeat.Sequence <= Worker->Sequence || HasOtherService ||
       Heartbeat.Address != Worker->Address)
     return;
   const bool StartsDraining = Heartbeat.Draining && !Worker->Draining;
@@ -188,6 +192,19 @@
   StateChanged.notify_all();
 }
 
+void TaskAgent::adoptRestarted(std::int64_t StartedAtMs) {
+  // Its kind is unknown before its first heartbeat, so that it has room for
+  // nothing until then.
+  WorkerCandidate Restarted;
+  Restarted.Heartbeat.Id = Worker->Id;
+  Restarted.Heartbeat.StartedAtMs = StartedAtMs;
+  Restarted.Heartbeat.Sequence = NoHeartbeat;
+  Restarted.Heartbeat.Service = Worker->Service;
+  Restarted.Heartbeat.Address = Worker->Address;
+  Restarted.Link = Link;
+  adopt(Candidates.take(Restarted));
+}
+
 bool TaskAgent::hasWorker() const {
   return Worker && !WorkerName.str().empty() && !isDeparted(WorkerName);
 }
--- a/src/tasks/agent/WorkerCandidates.cpp
+++ b/src/tasks/agent/WorkerCandidates.cpp
@@ -79,7 +79,7 @@
   std::vector<WorkerCandidate> Due;
   std::copy_if(Candidates.begin(), Candidates.end(), std::back_inserter(Due),
                [&](const WorkerCandidate &Each) {
-                 return isServiceNamed(Each.Heartbeat.Service);
+                 return names(Each.Heartbeat.Service);
                });
   return Due;
 }
@@ -97,7 +97,7 @@
       Candidates.begin(), Candidates.end(),
       [this](const WorkerCandidate &One, const WorkerCandidate &Other) {
         const auto Likelihood = [this](const WorkerCandidate &Each) {
-          return std::make_pair(isServiceNamed(Each.Heartbeat.Service) &&
+          return std::make_pair(names(Each.Heartbeat.Service) &&
                                     Each.Doubt.empty(),
                                 Each.HeardAt);
         };
@@ -113,7 +113,7 @@
                       });
 }
 
-bool WorkerCandidates::isServiceNamed(const ServiceName &Service) const {
+bool WorkerCandidates::names(const ServiceName &Service) const {
   return AreServicesKnown && (!Services || Services->count(Service));
 }
 
--- a/src/tasks/agent/WorkerCandidates.h
+++ b/src/tasks/agent/WorkerCandidates.h
@@ -39,6 +39,9 @@
   /// Applies the services that the coordinator's configuration names.
   void applyServices(const wire::TaskOrders &Answer);
 
+  /// Whether the configuration or a job names \p Service.
+  bool names(const ServiceName &Service) const;
+
   /// Returns the candidates to call: those whose service is named and which
   /// were heard of recently.
   std::vector<WorkerCandidate> due(BootInstant Now);
@@ -57,7 +60,6 @@
   /// Returns the candidate to drop: one without a named service or that did not
   /// answer before others, then the one that was heard of the longest ago.
   std::vector<WorkerCandidate>::iterator leastLikely();
-  bool isServiceNamed(const ServiceName &Service) const;
 
   std::vector<WorkerCandidate> Candidates;
   /// Whether any coordinator has told the services.
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -805,6 +805,29 @@
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
 }
 
+// Guards against a task that runs twice because its start reached a worker that
+// had started again under its id before its agent noticed: the run is lost with
+// the earlier incarnation, and started elsewhere while it works on this one.
+TEST(TaskAgent, ReportsARestartUnderTheIdWithoutAnAbsentWorker) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  std::set<std::string> Names;
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    Worker.StartedAtMs = 9;
+  }
+  CHECK_TRUE(waitUntil([&] {
+    Names.insert(last().worker());
+    return last().worker() == "n1/i-1#9" && last().complete();
+  }));
+  LONGS_EQUAL(0, Names.count("n1/none#1"));
+  STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
+  // Nothing is placed on it before it has told its kind.
+  LONGS_EQUAL(0, last().accelerators());
+  Agent->onHeartbeat(heartbeat(9, 1));
+  CHECK_TRUE(waitUntil([&] { return last().accelerators() == 8; }));
+}
+
 // Guards against an agent that takes no worker any more after one has started
 // again under its id while the clock was set back.
 TEST(TaskAgent, ReplacesAWorkerThatStartedAgainAtAnEarlierTime) {
