Test workers that restart under their id while orders are on their way

Two causes are repeated here without chance, and fail on this product: an agent that notices a restart late reports runs that the new incarnation has begun as lost with the old one; and a start that was left unanswered, and barred, is carried out by the next incarnation, which knows of no bar.

A worker that starts again at once listens before its caller sees the end of the connection.

--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -127,6 +127,18 @@
   Workers[Which]->IsLate = IsLate;
 }
 
+void WorkerFleet::delayCalls(std::size_t Which, const std::string &Path,
+                             Milliseconds Delay) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Workers[Which]->DelayedPath = Path;
+  Workers[Which]->DelayedBy = Delay;
+}
+
+void WorkerFleet::setSilent(std::size_t Which, bool IsSilent) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Workers[Which]->IsSilent = IsSilent;
+}
+
 void WorkerFleet::crash(std::size_t Which, Milliseconds Down, NextId Next) {
   Worker &At = *Workers[Which];
   std::unique_ptr<HttpServer> Ended;
@@ -147,6 +159,9 @@
   Ended.reset();
   const std::lock_guard<std::mutex> Lock(Mutex);
   At.IsClosing = false;
+  // A caller that sees its connection end finds the next incarnation listening.
+  if (Down == Milliseconds(0))
+    comeBack(At);
 }
 
 void WorkerFleet::comeBack(Worker &At) {
@@ -345,7 +360,7 @@
     {
       const std::lock_guard<std::mutex> Lock(Mutex);
       Worker &At = *Workers[W];
-      if (!At.IsUp)
+      if (!At.IsUp || At.IsSilent)
         continue;
       Next = {At.Id, textOf(*heartbeat(At))};
       At.Sent.push_front(Next);
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -70,6 +70,14 @@
   /// While set, a worker leaves about a third of all orders and listings
   /// unanswered, and carries them out up to seconds later, after newer calls.
   void setLate(std::size_t Worker, bool IsLate);
+  static constexpr const char *StartPath = "/-/run-start";
+  static constexpr const char *ListingPath = "/-/hold";
+  /// Leaves all calls to a path unanswered, and carries them out after \p
+  /// Delay. An empty path ends that.
+  void delayCalls(std::size_t Worker, const std::string &Path,
+                  Milliseconds Delay);
+  /// While set, a worker sends no heartbeats of its own.
+  void setSilent(std::size_t Worker, bool IsSilent);
 
   enum class NextId { New, Same };
   /// Ends a worker with all its runs and all its connections. It refuses new
@@ -168,6 +176,10 @@
     std::uint64_t LastEnd = 0;
     Mode Now = Mode::Sound;
     bool IsLate = false;
+    /// All calls to this path are late by DelayedBy; none if it is empty.
+    std::string DelayedPath;
+    Milliseconds DelayedBy{0};
+    bool IsSilent = false;
     bool IsUp = true;
     /// Its server is being ended.
     bool IsClosing = false;
--- a/tests/support/WorkerFleetCalls.cpp
+++ b/tests/support/WorkerFleetCalls.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-const std::string HoldPath = "/-/hold";
 /// Longer than the callers' timeouts, but for listings that wait.
 constexpr Milliseconds Silence{1500};
 /// Most time that a call may ask to wait for an end.
@@ -54,10 +53,12 @@
 bool WorkerFleet::postpone(Worker &At, const HttpRequest &Request) {
   constexpr int OneIn = 3;
   constexpr int MaxLateMs = 5000;
-  if (!At.IsLate || !LateDice.oneIn(OneIn))
+  const bool IsDelayed = Request.Path == At.DelayedPath;
+  if (!IsDelayed && (!At.IsLate || !LateDice.oneIn(OneIn)))
     return false;
-  At.Late.push_back({monotonicNow() + Milliseconds(LateDice.upTo(MaxLateMs)),
-                     At.BornMs, Request});
+  const Milliseconds Delay =
+      IsDelayed ? At.DelayedBy : Milliseconds(LateDice.upTo(MaxLateMs));
+  At.Late.push_back({monotonicNow() + Delay, At.BornMs, Request});
   return true;
 }
 
@@ -70,7 +71,8 @@
   for (const LateCall &Each : Due) {
     // A listing of an earlier incarnation of the same id would discard ends of
     // this one that nobody has seen. No system could tell.
-    if (!At.IsUp || (Each.Request.Path == HoldPath && Each.BornMs != At.BornMs))
+    if (!At.IsUp ||
+        (Each.Request.Path == ListingPath && Each.BornMs != At.BornMs))
       continue;
     const std::size_t Before = StartCount;
     const HttpResponse Response = carryOut(At, Each.Request, nullptr);
@@ -103,7 +105,7 @@
       lapse(At);
     At.LeaseUntil = std::max(At.LeaseUntil, Until);
   }
-  if (Request.Path == "/-/run-start")
+  if (Request.Path == StartPath)
     return start(At, Order);
   if (Request.Path == "/-/run-stop")
     return stop(At, Order);
