--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -85,7 +85,22 @@
     return "unknown";
   }
 
+  /// Asks one entry for the state of one job. A job may be shown as completed
+  /// only if all of its tasks have ended as done.
+  void checkAnyState() {
+    if (Accepted.empty())
+      return;
+    const std::string &Id = Accepted[Random.below(Accepted.size())];
+    const auto Answer =
+        Clients[Random.below(Clients.size())]->call(jobCall("GET", Id));
+    if (Answer && Answer->Status == 200 &&
+        Answer->Body.find("\"completed\"") != std::string::npos &&
+        !System.Fleet->isDone(Id))
+      ShownTooEarly += Id + " is shown as completed before its end\n";
+  }
+
   std::vector<std::string> Accepted;
+  std::string ShownTooEarly;
 
 private:
   TaskDeployment &System;
@@ -126,8 +141,10 @@
   Dice Random(unsigned(Seed) * 10 + 9);
   const auto SubmitFor = [&](std::chrono::seconds Time, int MaxPauseMs) {
     for (const Instant End = monotonicNow() + Time; monotonicNow() < End;
-         std::this_thread::sleep_for(Milliseconds(Random.upTo(MaxPauseMs))))
+         std::this_thread::sleep_for(Milliseconds(Random.upTo(MaxPauseMs)))) {
       (void)Client.submit(Client.anyJob());
+      Client.checkAnyState();
+    }
   };
   SubmitFor(std::chrono::seconds(Seconds), 500);
   for (const auto &Each : Faults)
@@ -147,7 +164,7 @@
       },
       FinishTimeout);
   const auto Took = monotonicNow() - SubmissionsEnded;
-  std::string Wrong;
+  std::string Wrong = Client.ShownTooEarly;
   for (const std::string &Id : Client.Accepted)
     if (System.Fleet->isDone(Id) &&
         !waitFor([&] { return Client.stateOf(Id) == "completed"; },
--- a/tests/support/RunJudge.cpp
+++ b/tests/support/RunJudge.cpp
@@ -11,7 +11,7 @@
 
 std::string textOf(const SeenRun &Run) {
   return Run.Task + " run " + std::to_string(Run.Number) + " on " +
-         Run.WorkerIp;
+         Run.WorkerIp + (Run.IsLate ? " (late)" : "");
 }
 
 /// One end as done represents all tasks of a gang.
--- a/tests/support/RunJudge.h
+++ b/tests/support/RunJudge.h
@@ -18,6 +18,8 @@
   std::uint64_t Number = 0;
   std::string WorkerIp;
   bool IsGang = false;
+  /// The worker carried the start out late.
+  bool IsLate = false;
 };
 
 /// Judges from what the workers see alone whether a task runs twice, and keeps
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -139,6 +139,7 @@
   struct Run {
     std::uint64_t Number = 0;
     std::size_t GangSize = 1;
+    bool IsLate = false;
     std::int64_t MemoryMb = 0;
     std::int64_t Accelerators = 0;
     std::int64_t WorkMs = 0;
@@ -215,7 +216,7 @@
   /// \p Lock is null for a late call, which does not wait for ends.
   HttpResponse carryOut(Worker &At, const HttpRequest &Request,
                         std::unique_lock<std::mutex> *Lock);
-  HttpResponse start(Worker &At, const Object &Order);
+  HttpResponse start(Worker &At, const Object &Order, bool IsLate);
   HttpResponse stop(Worker &At, const Object &Order);
   HttpResponse hold(Worker &At, const Object &Order,
                     std::unique_lock<std::mutex> *Lock);
--- a/tests/support/WorkerFleetCalls.cpp
+++ b/tests/support/WorkerFleetCalls.cpp
@@ -106,7 +106,7 @@
     At.LeaseUntil = std::max(At.LeaseUntil, Until);
   }
   if (Request.Path == StartPath)
-    return start(At, Order);
+    return start(At, Order, !Lock);
   if (Request.Path == "/-/run-stop")
     return stop(At, Order);
   return hold(At, Order, Lock);
@@ -121,12 +121,13 @@
   return NeedMb <= MemoryMb && NeedAccelerators <= Accelerators;
 }
 
-HttpResponse WorkerFleet::start(Worker &At, const Object &Order) {
+HttpResponse WorkerFleet::start(Worker &At, const Object &Order, bool IsLate) {
   const auto Task = Order->getValue<std::string>("task");
   const auto Number = Order->getValue<std::uint64_t>("run");
   Run Next;
   Next.Number = Number;
   Next.Since = monotonicNow();
+  Next.IsLate = IsLate;
   std::istringstream Payload(Order->optValue<std::string>("spec", ""));
   Payload >> Next.WorkMs >> Next.GangSize >> Next.MemoryMb >> Next.Accelerators;
   const auto Refuse = [&](const char *Why) {
@@ -148,7 +149,7 @@
   At.Running[Task] = Next;
   ++Starts[Task];
   ++StartCount;
-  Judge.noteStart({Task, Number, At.Ip, Next.GangSize > 1});
+  Judge.noteStart({Task, Number, At.Ip, Next.GangSize > 1, IsLate});
   checkRuns();
   return respond(reply(At));
 }
@@ -170,7 +171,7 @@
   while (!At.Ends.empty() && At.Ends.front().Number <= Through) {
     const End &Each = At.Ends.front();
     if (Each.How == "done" && !Each.HasLapsed)
-      Judge.noteAcknowledged({Each.Task, Each.Run, At.Ip, Each.IsGang},
+      Judge.noteAcknowledged({Each.Task, Each.Run, At.Ip, Each.IsGang, false},
                              Each.At);
     At.Ends.pop_front();
   }
--- a/tests/support/WorkerFleetRuns.cpp
+++ b/tests/support/WorkerFleetRuns.cpp
@@ -34,7 +34,7 @@
   Bar = std::max(Bar, Number);
   if (How == "done") {
     Jobs[jobOf(Task)].Done.insert(Task);
-    Kept.At = Judge.noteDone({Task, Number, At.Ip, IsGang});
+    Kept.At = Judge.noteDone({Task, Number, At.Ip, IsGang, false});
   } else {
     Judge.note(How + " " + Task + " run " + std::to_string(Number) + " on " +
                At.Ip);
@@ -71,7 +71,8 @@
   std::vector<SeenRun> Seen;
   for (const auto &At : Workers)
     for (const auto &[Task, Each] : At->Running)
-      Seen.push_back({Task, Each.Number, At->Ip, Each.GangSize > 1});
+      Seen.push_back(
+          {Task, Each.Number, At->Ip, Each.GangSize > 1, Each.IsLate});
   Judge.checkOverlaps(Seen);
 }
 
