--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -22,7 +22,9 @@
 /// Jobs are submitted for this long after the last fault.
 constexpr std::chrono::seconds CalmTime{10};
 /// Series of faults that overlap.
-constexpr unsigned SeriesCount = 4;
+constexpr TaskFaults::Kind SeriesOfFaults[] = {
+    TaskFaults::Kind::Any, TaskFaults::Kind::Any, TaskFaults::Kind::Workers,
+    TaskFaults::Kind::Messages};
 constexpr std::uint64_t FirstJob = 0x1000000000000000;
 
 int environmentNumber(const char *Name, int Default) {
@@ -135,9 +137,10 @@
       waitFor([&] { return Client.submit(FleetJob()); }, Milliseconds(20000)));
   std::mutex Processes;
   std::vector<std::unique_ptr<TaskFaults>> Faults;
-  for (unsigned Series = 0; Series < SeriesCount; ++Series)
+  for (const TaskFaults::Kind Kind : SeriesOfFaults)
     Faults.push_back(std::make_unique<TaskFaults>(
-        System, unsigned(Seed) * 10 + Series, Processes));
+        System, Kind, unsigned(Seed) * 10 + unsigned(Faults.size()),
+        Processes));
   Dice Random(unsigned(Seed) * 10 + 9);
   const auto SubmitFor = [&](std::chrono::seconds Time, int MaxPauseMs) {
     for (const Instant End = monotonicNow() + Time; monotonicNow() < End;
--- a/tests/support/TaskFaults.cpp
+++ b/tests/support/TaskFaults.cpp
@@ -4,10 +4,10 @@
 
 namespace baobabcove::testing {
 
-TaskFaults::TaskFaults(TaskDeployment &System, unsigned Seed,
+TaskFaults::TaskFaults(TaskDeployment &System, Kind Faults, unsigned Seed,
                        std::mutex &ProcessMutex)
     : System(System), Random(Seed), Messages(*System.Fleet, Random),
-      Processes(ProcessMutex), Thread([this] { run(); }) {}
+      Processes(ProcessMutex), Thread([this, Faults] { run(Faults); }) {}
 
 TaskFaults::~TaskFaults() {
   Ended = true;
@@ -20,35 +20,43 @@
     std::this_thread::sleep_for(Milliseconds(10));
 }
 
-void TaskFaults::run() {
-  static constexpr Step Steps[] = {
-      &TaskFaults::killEntry,
-      &TaskFaults::stopEntry,
-      &TaskFaults::pauseEntry,
-      &TaskFaults::reloadEntry,
-      &TaskFaults::killAgent,
-      &TaskFaults::stopAgent,
-      &TaskFaults::pauseAgent,
-      &TaskFaults::reloadAgent,
-      &TaskFaults::changeConfig,
-      &TaskFaults::cutEntry,
-      &TaskFaults::loseStore,
-      &TaskFaults::delayWrites,
-      &TaskFaults::failWorkers,
-      &TaskFaults::stallWorkers,
-      &TaskFaults::crashWorkers,
-      &TaskFaults::restartWorkers,
-      &TaskFaults::leaveWorkers,
-      &TaskFaults::drainWorkers,
-      &TaskFaults::delayCalls,
-      &TaskFaults::restartLateWorkers,
+const std::vector<TaskFaults::Step> &TaskFaults::stepsOf(Kind Faults) {
+  static const std::vector<Step> Any = {
+      &TaskFaults::killEntry,    &TaskFaults::stopEntry,
+      &TaskFaults::pauseEntry,   &TaskFaults::killAgent,
+      &TaskFaults::stopAgent,    &TaskFaults::pauseAgent,
+      &TaskFaults::cutEntry,     &TaskFaults::loseStore,
+      &TaskFaults::delayWrites,  &TaskFaults::failWorkers,
+      &TaskFaults::stallWorkers, &TaskFaults::crashWorkers,
+      &TaskFaults::leaveWorkers, &TaskFaults::drainWorkers};
+  static const std::vector<Step> OfWorkers = {
+      &TaskFaults::crashWorkers, &TaskFaults::restartWorkers,
+      &TaskFaults::leaveWorkers, &TaskFaults::drainWorkers,
+      &TaskFaults::delayCalls,   &TaskFaults::restartLateWorkers};
+  static const std::vector<Step> OfMessages = {
+      &TaskFaults::sendForeignHeartbeats,
       &TaskFaults::sendForeignHeartbeats,
       &TaskFaults::repeatHeartbeats,
       &TaskFaults::repeatDeregistrations,
-  };
+      &TaskFaults::changeConfig,
+      &TaskFaults::reloadEntry,
+      &TaskFaults::reloadAgent};
+  switch (Faults) {
+  case Kind::Any:
+    return Any;
+  case Kind::Workers:
+    return OfWorkers;
+  case Kind::Messages:
+    return OfMessages;
+  }
+  return Any;
+}
+
+void TaskFaults::run(Kind Faults) {
+  const std::vector<Step> &Steps = stepsOf(Faults);
   while (!Stopping) {
     sleep(200 + Random.upTo(1000));
-    (this->*Steps[Random.below(std::size(Steps))])();
+    (this->*Steps[Random.below(Steps.size())])();
     System.Fleet->noteFault();
   }
   Healed = true;
--- a/tests/support/TaskFaults.h
+++ b/tests/support/TaskFaults.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace baobabcove::testing {
 
@@ -15,9 +16,20 @@
 /// next. Several of them overlap.
 class TaskFaults {
 public:
+  enum class Kind {
+    /// Processes, the store and the workers.
+    Any,
+    /// Workers and calls to them.
+    Workers,
+    /// Messages about workers, signals that reload, and configurations: short
+    /// ones, of which many fit beside the others.
+    Messages,
+  };
+
   /// \p ProcessMutex is that of all series, so that two of them never replace
   /// one process.
-  TaskFaults(TaskDeployment &System, unsigned Seed, std::mutex &ProcessMutex);
+  TaskFaults(TaskDeployment &System, Kind Faults, unsigned Seed,
+             std::mutex &ProcessMutex);
   ~TaskFaults();
 
   /// Ends the series and waits until its last fault is healed. The thread stays
@@ -27,7 +39,8 @@
 private:
   using Step = void (TaskFaults::*)();
 
-  void run();
+  static const std::vector<Step> &stepsOf(Kind Faults);
+  void run(Kind Faults);
   void sleep(int Ms);
 
   TaskDaemon &anyEntry();
