--- a/tests/support/WorkerFleetRuns.cpp
+++ b/tests/support/WorkerFleetRuns.cpp
@@ -51,8 +51,10 @@
     for (const auto &[Task, Each] : At->Running)
       if (stepOf(Task) == Step && Each.Number == Number)
         Members.push_back(Task);
+    // The end of one member may have ended the others.
     for (const std::string &Member : Members)
-      end(*At, Member, How);
+      if (At->Running.count(Member))
+        end(*At, Member, How);
   }
 }
 
