--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -22,7 +22,9 @@
 /// Jobs are submitted for this long after the last fault.
 constexpr std::chrono::seconds CalmTime{10};
 /// Series of faults that overlap.
-constexpr unsigned SeriesCount = 4;
+constexpr TaskFaults::Kind SeriesOfFaults[] = {
+    TaskFaults::Kind::Any, TaskFaults::Kind::Any, TaskFaults::Kind::Workers,
+    TaskFaults::Kind::Messages};
 constexpr std::uint64_t FirstJob = 0x1000000000000000;
 
 int environmentNumber(const char *Name, int Default) {
@@ -85,7 +87,22 @@
     return "unknown";
   }
 
+  /// Asks one entry for the state of one job. A job may be shown as completed
+  /// only if all of its tasks have ended as done.
+  void checkAnyState() {
+    if (Accepted.empty())
+      return;
+    const std::string &Id = Accepted[Random.below(Accepted.size())];
+    const auto Answer =
+        Clients[Random.below(Clients.size())]->call(jobCall("GET", Id));
+    if (Answer && Answer->Status == 200 &&
+        Answer->Body.find("\"completed\"") != std::string::npos &&
+        !System.Fleet->isDone(Id))
+      ShownTooEarly += Id + " is shown as completed before its end\n";
+  }
+
   std::vector<std::string> Accepted;
+  std::string ShownTooEarly;
 
 private:
   TaskDeployment &System;
@@ -115,14 +132,17 @@
       waitFor([&] { return Client.submit(FleetJob()); }, Milliseconds(20000)));
   std::mutex Processes;
   std::vector<std::unique_ptr<TaskFaults>> Faults;
-  for (unsigned Series = 0; Series < SeriesCount; ++Series)
+  for (const TaskFaults::Kind Kind : SeriesOfFaults)
     Faults.push_back(std::make_unique<TaskFaults>(
-        System, unsigned(Seed) * 10 + Series, Processes));
+        System, Kind, unsigned(Seed) * 10 + unsigned(Faults.size()),
+        Processes));
   Dice Random(unsigned(Seed) * 10 + 9);
   const auto SubmitFor = [&](std::chrono::seconds Time, int MaxPauseMs) {
     for (const Instant End = monotonicNow() + Time; monotonicNow() < End;
-         std::this_thread::sleep_for(Milliseconds(Random.upTo(MaxPauseMs))))
+         std::this_thread::sleep_for(Milliseconds(Random.upTo(MaxPauseMs)))) {
       (void)Client.submit(Client.anyJob());
+      Client.checkAnyState();
+    }
   };
   SubmitFor(std::chrono::seconds(Seconds), 500);
   for (const auto &Each : Faults)
@@ -142,7 +162,7 @@
       },
       FinishTimeout);
   const auto Took = monotonicNow() - SubmissionsEnded;
-  std::string Wrong;
+  std::string Wrong = Client.ShownTooEarly;
   for (const std::string &Id : Client.Accepted)
     if (System.Fleet->isDone(Id) &&
         !waitFor([&] { return Client.stateOf(Id) == "completed"; },
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -73,6 +73,14 @@
   /// Sets whether late starts and stops reach the next life of a worker under
   /// the same id. Otherwise it refuses them, as any other incarnation does.
   void setLateCallsReachNextLife(bool Reach) { LateCallsReachNextLife = Reach; }
+  static constexpr const char *StartPath = "/-/run-start";
+  static constexpr const char *ListingPath = "/-/hold";
+  /// Leaves all calls to a path unanswered, and carries them out after \p
+  /// Delay. An empty path ends that.
+  void delayCalls(std::size_t Worker, const std::string &Path,
+                  Milliseconds Delay);
+  /// While set, a worker sends no heartbeats of its own.
+  void setSilent(std::size_t Worker, bool IsSilent);
 
   enum class NextId { New, Same };
   /// Ends a worker with all its runs and all its connections. It refuses new
@@ -134,6 +142,7 @@
   struct Run {
     std::uint64_t Number = 0;
     std::size_t GangSize = 1;
+    bool IsLate = false;
     std::int64_t MemoryMb = 0;
     std::int64_t Accelerators = 0;
     std::int64_t WorkMs = 0;
@@ -171,6 +180,10 @@
     std::uint64_t LastEnd = 0;
     Mode Now = Mode::Sound;
     bool IsLate = false;
+    /// All calls to this path are late by DelayedBy; none if it is empty.
+    std::string DelayedPath;
+    Milliseconds DelayedBy{0};
+    bool IsSilent = false;
     bool IsUp = true;
     /// Its server is being ended.
     bool IsClosing = false;
@@ -206,7 +219,7 @@
   /// \p Lock is null for a late call, which does not wait for ends.
   HttpResponse carryOut(Worker &At, const HttpRequest &Request,
                         std::unique_lock<std::mutex> *Lock);
-  HttpResponse start(Worker &At, const Object &Order);
+  HttpResponse start(Worker &At, const Object &Order, bool IsLate);
   HttpResponse stop(Worker &At, const Object &Order);
   HttpResponse hold(Worker &At, const Object &Order,
                     std::unique_lock<std::mutex> *Lock);
--- a/tests/support/WorkerFleetCalls.cpp
+++ b/tests/support/WorkerFleetCalls.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-const std::string HoldPath = "/-/hold";
 /// Longer than the callers' timeouts, but for listings that wait.
 constexpr Milliseconds Silence{1500};
 /// Most time that a call may ask to wait for an end.
@@ -54,10 +53,12 @@
 bool WorkerFleet::postpone(Worker &At, const HttpRequest &Request) {
   constexpr int OneIn = 3;
   constexpr int MaxLateMs = 5000;
-  if (!At.IsLate || !LateDice.oneIn(OneIn))
+  const bool IsDelayed = Request.Path == At.DelayedPath;
+  if (!IsDelayed && (!At.IsLate || !LateDice.oneIn(OneIn)))
     return false;
-  At.Late.push_back({monotonicNow() + Milliseconds(LateDice.upTo(MaxLateMs)),
-                     At.BornMs, Request});
+  const Milliseconds Delay =
+      IsDelayed ? At.DelayedBy : Milliseconds(LateDice.upTo(MaxLateMs));
+  At.Late.push_back({monotonicNow() + Delay, At.BornMs, Request});
   return true;
 }
 
@@ -71,7 +72,7 @@
     // A listing of an earlier incarnation of the same id would discard ends of
     // this one that nobody has seen. No system could tell.
     const bool ReachesNextLife =
-        LateCallsReachNextLife && Each.Request.Path != HoldPath;
+        LateCallsReachNextLife && Each.Request.Path != ListingPath;
     if (!At.IsUp || (Each.BornMs != At.BornMs && !ReachesNextLife))
       continue;
     const std::size_t Before = StartCount;
@@ -105,8 +106,8 @@
       lapse(At);
     At.LeaseUntil = std::max(At.LeaseUntil, Until);
   }
-  if (Request.Path == "/-/run-start")
-    return start(At, Order);
+  if (Request.Path == StartPath)
+    return start(At, Order, !Lock);
   if (Request.Path == "/-/run-stop")
     return stop(At, Order);
   return hold(At, Order, Lock);
@@ -121,12 +122,13 @@
   return NeedMb <= MemoryMb && NeedAccelerators <= Accelerators;
 }
 
-HttpResponse WorkerFleet::start(Worker &At, const Object &Order) {
+HttpResponse WorkerFleet::start(Worker &At, const Object &Order, bool IsLate) {
   const auto Task = Order->getValue<std::string>("task");
   const auto Number = Order->getValue<std::uint64_t>("run");
   Run Next;
   Next.Number = Number;
   Next.Since = monotonicNow();
+  Next.IsLate = IsLate;
   std::istringstream Payload(Order->optValue<std::string>("spec", ""));
   Payload >> Next.WorkMs >> Next.GangSize >> Next.MemoryMb >> Next.Accelerators;
   const auto Refuse = [&](const char *Why) {
@@ -148,7 +150,7 @@
   At.Running[Task] = Next;
   ++Starts[Task];
   ++StartCount;
-  Judge.noteStart({Task, Number, At.Ip, Next.GangSize > 1});
+  Judge.noteStart({Task, Number, At.Ip, Next.GangSize > 1, IsLate});
   checkRuns();
   return respond(reply(At));
 }
@@ -170,7 +172,7 @@
   while (!At.Ends.empty() && At.Ends.front().Number <= Through) {
     const End &Each = At.Ends.front();
     if (Each.How == "done" && !Each.HasLapsed)
-      Judge.noteAcknowledged({Each.Task, Each.Run, At.Ip, Each.IsGang},
+      Judge.noteAcknowledged({Each.Task, Each.Run, At.Ip, Each.IsGang, false},
                              Each.At);
     At.Ends.pop_front();
   }
