--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -104,6 +104,8 @@
           Due = Candidates.due(BootClock::now());
         return Stopping || !Due.empty();
       };
+      // Orders for an absent worker that could not be resolved at once are
+      // resolved when the wait for its restart ends.
       while (awaitsSameId(BootClock::now()) &&
              !StateChanged.wait_for(Lock, SameIdCheckPeriod, HasWork))
         queueOrders();
@@ -180,6 +182,7 @@
                      .add("accelerators", Heartbeat.Accelerators)
                      .add("draining", Heartbeat.Draining));
   resetWorkerState();
+  // A worker that is adopted again may have starts of an earlier agent.
   IsSoleAgent = !WorkerName.str().empty() && Name != LostWorker;
   WorkerName = Name;
   Worker = Heartbeat;
--- a/src/tasks/agent/WorkerLiveness.h
+++ b/src/tasks/agent/WorkerLiveness.h
@@ -18,10 +18,10 @@
 
   /// Whether the last call was answered, or none has ended yet.
   bool answers() const { return Answers; }
-  /// Whether only refusals have been seen for so long that the process must
-  /// have ended.
   /// Whether the worker's host refused the last connection.
   bool refuses() const { return RefusingSince != BootInstant{}; }
+  /// Whether only refusals have been seen for so long that the process must
+  /// have ended.
   bool hasEnded(BootInstant Now) const;
 
 private:
