Hold the polls of agents whose workers are silent

An answer to any report of expired leases was sent as soon as the report was applied, so that the agent of a silent worker, whose polls repeat that report, polled without a pause at the pace of the rounds. Only a report without a wait is answered early.

Test: TaskCoordinator.HoldsThePollsOfAgentsWithExpiredLeases.

--- a/src/tasks/coordination/TaskCoordinatorSessions.cpp
+++ b/src/tasks/coordination/TaskCoordinatorSessions.cpp
@@ -53,10 +53,11 @@
   Stats.count("attend_calls");
   const NodeId Node(Report.node());
   // The agent extends no lease before its report of expired ones is applied.
+  // Its polls repeat that report for as long as its worker is silent.
+  const bool AwaitsApplied = Report.lapsed() && Report.wait_ms() == 0;
   const Instant Until =
       monotonicNow() +
-      std::max(Milliseconds(Report.wait_ms()),
-               Report.lapsed() ? MaxApplicationWait : Milliseconds(0));
+      (AwaitsApplied ? MaxApplicationWait : Milliseconds(Report.wait_ms()));
   std::unique_lock<std::mutex> Lock(Mutex);
   wire::TaskOrders NotCoordinating;
   const auto TermAtCall = Role ? Role->term() : std::nullopt;
@@ -84,7 +85,7 @@
   OrdersChanged->wait_until(Lock, Until, [&] {
     Stats.count("attend_wakeups");
     return Stopping || !Role->term() || !IsCurrent ||
-           (Report.lapsed() &&
+           (AwaitsApplied &&
             appliedSequence(Sessions[Node], Report) >= Report.sequence()) ||
            (Serving != Epoch() &&
             Sessions[Node].Orders.revision() != Report.orders_seen() &&
@@ -190,7 +191,7 @@
                                   const wire::TaskReport &Report) {
   Session.AppliedSequence = Report.sequence();
   Session.AppliedAgent = Report.agent_life();
-  if (Report.lapsed())
+  if (Report.lapsed() && Report.wait_ms() == 0)
     Session.OrdersChanged->notify_all();
 }
 
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -174,6 +174,22 @@
   LONGS_EQUAL(0, Coordinator.attend(Other).applied_sequence());
 }
 
+// Guards against agents of silent workers that poll without a pause, each time
+// their report of expired leases has been applied.
+TEST(TaskCoordinator, HoldsThePollsOfAgentsWithExpiredLeases) {
+  wire::TaskReport Lapsed = reportOf("n1", 1, 0);
+  Lapsed.set_complete(false);
+  Lapsed.set_lapsed(true);
+  const wire::TaskOrders Orders = Coordinator.attend(Lapsed);
+  LONGS_EQUAL(1, Orders.applied_sequence());
+  Lapsed.set_sequence(2);
+  Lapsed.set_wait_ms(700);
+  Lapsed.set_orders_seen(Orders.revision());
+  const Instant Begin = monotonicNow();
+  (void)Coordinator.attend(Lapsed);
+  CHECK(monotonicNow() - Begin >= Milliseconds(600));
+}
+
 // Pattern: each publication wakes the waiting calls of all agents, so that a
 // small instance has no processor time left for its rounds.
 TEST(TaskCoordinator, WakesOnlyTheAgentWhoseOrdersChanged) {
