Share the restart of an agent with a bar between two tests

Two tests of TaskAgent repeated it line by line; their assertions are unchanged. A comment of LateStarts is put as a sentence.

--- a/src/tasks/agent/LateStarts.h
+++ b/src/tasks/agent/LateStarts.h
@@ -30,8 +30,8 @@
   /// Whether an unanswered start of \p Run may still be carried out.
   bool isUnanswered(const RunId &Run, BootInstant Now);
 
-  /// A start is carried out within 12 s or never. As long as the coordinator
-  /// names bars.
+  /// The coordinator names a bar for as long. A start is carried out within 12
+  /// s or never.
   static constexpr Milliseconds Timeout{20000};
 
 private:
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -242,6 +242,25 @@
     Agent->onHeartbeat(heartbeat(StartedAt, 1));
   }
 
+  /// Restarts the agent, to which the coordinator names a run to bar. The
+  /// worker does not acknowledge stops.
+  void restartAgentWithBar() {
+    Agent->stop();
+    {
+      const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+      Worker.Deadline = Milliseconds(0);
+      Worker.RefusesStops = true;
+    }
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      Last.Clear();
+      wire::RunKey &Bar = *Orders.add_bars();
+      Bar.set_task("j.0.0.9");
+      Bar.set_run(4);
+    }
+    startAgent();
+  }
+
   void endWorker() {
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
     Worker.Refuses = true;
@@ -620,20 +639,7 @@
 // Pattern: the coordinator names a start that an earlier agent sent; it must
 // not be carried out under the lease that this agent gives.
 TEST(TaskAgent, GivesNoLeaseBeforeTheCoordinatorsBarsAreAcknowledged) {
-  Agent->stop();
-  {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    Worker.Deadline = Milliseconds(0);
-    Worker.RefusesStops = true;
-  }
-  {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    Last.Clear();
-    wire::RunKey &Bar = *Orders.add_bars();
-    Bar.set_task("j.0.0.9");
-    Bar.set_run(4);
-  }
-  startAgent();
+  restartAgentWithBar();
   Agent->onHeartbeat(heartbeat(7, 1));
   CHECK_TRUE(waitUntil([&] { return last().sequence() > 5; }));
   {
@@ -651,20 +657,7 @@
 // Guards against a task that runs twice because the bars that the coordinator
 // named before the agent knew its worker are forgotten.
 TEST(TaskAgent, GivesNoLeaseBeforeBarsThatCameBeforeItsWorker) {
-  Agent->stop();
-  {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    Worker.Deadline = Milliseconds(0);
-    Worker.RefusesStops = true;
-  }
-  {
-    const std::lock_guard<std::mutex> Lock(Mutex);
-    Last.Clear();
-    wire::RunKey &Bar = *Orders.add_bars();
-    Bar.set_task("j.0.0.9");
-    Bar.set_run(4);
-  }
-  startAgent();
+  restartAgentWithBar();
   awaitReports();
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
