Poll with the published orders in the test of held polls

Cause: a report of expired leases is answered when it is applied, which is before the round publishes the orders that follow from it. The test polled with the revision of that early answer, so that the poll was rightly answered as soon as the round published.

--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -180,11 +180,15 @@
   wire::TaskReport Lapsed = reportOf("n1", 1, 0);
   Lapsed.set_complete(false);
   Lapsed.set_lapsed(true);
-  const wire::TaskOrders Orders = Coordinator.attend(Lapsed);
-  LONGS_EQUAL(1, Orders.applied_sequence());
+  LONGS_EQUAL(1, Coordinator.attend(Lapsed).applied_sequence());
+  // The orders that follow from a report are published after it is applied, and
+  // a poll that does not know them is answered at once.
+  const std::uint64_t Rounds = counter("rounds");
+  CHECK_TRUE(waitUntil([&] { return counter("rounds") > Rounds + 1; }));
   Lapsed.set_sequence(2);
+  Lapsed.set_orders_seen(Coordinator.attend(Lapsed).revision());
+  Lapsed.set_sequence(3);
   Lapsed.set_wait_ms(700);
-  Lapsed.set_orders_seen(Orders.revision());
   const Instant Begin = monotonicNow();
   (void)Coordinator.attend(Lapsed);
   CHECK(monotonicNow() - Begin >= Milliseconds(600));
