Refuse stored jobs that no entry stores

An empty record under the prefix of jobs parses as a job without steps. The forecast of such a job reads the largest element of an empty list, so that each coordinator in turn crashes when it takes over. A step that follows a later one reads past the end, and large counts allocate tasks without a limit.

Each process now takes a record as a job only if it has what every accepted job has: the id of its key, steps, at most the tasks of an accepted job, and steps that follow earlier ones. Others are logged with the reason and skipped.

Tests: TaskCoordinator.CoordinatesBesideRecordsThatAreNoJobs ends the old code by a signal, JobCatalog.SkipsRecordsThatNoEntryStores fails on it. The jobs of JobCatalogTest and JobIntakeTest had no steps, which no entry accepts; they have one now.

--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -4,6 +4,7 @@
 #include "base/LogFields.h"
 #include "base/StateDump.h"
 #include "tasks/StoreKeys.h"
+#include "tasks/StoredJob.h"
 #include "tasks/coordination/RunTimeReport.h"
 
 #include <algorithm>
@@ -253,11 +254,10 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     Services.Clear();
   }
-  for (const StoreItem &Item : All->Items) {
-    auto Spec = std::make_shared<wire::TaskJobSpec>();
-    if (Item.Key.rfind(keys::Jobs, 0) == 0 && Spec->ParseFromString(Item.Value))
-      Tracker.addJob(std::move(Spec));
-  }
+  for (const StoreItem &Item : All->Items)
+    if (Item.Key.rfind(keys::Jobs, 0) == 0)
+      if (auto Spec = readStoredJob(Item))
+        Tracker.addJob(std::move(Spec));
   for (auto &[Id, Stored] : readProgress(All->Items, Pages->Items))
     Tracker.restore(Id, Stored.Progress, Stored.Revision);
   for (const StoreItem &Item : All->Items)
--- a/src/tasks/intake/JobCatalog.cpp
+++ b/src/tasks/intake/JobCatalog.cpp
@@ -1,8 +1,7 @@
 #include "tasks/intake/JobCatalog.h"
 
-#include "base/Log.h"
-#include "base/LogFields.h"
 #include "tasks/StoreKeys.h"
+#include "tasks/StoredJob.h"
 
 #include <algorithm>
 
@@ -68,14 +67,8 @@
     Entries.erase(Id);
     return;
   }
-  auto Spec = std::make_shared<wire::TaskJobSpec>();
-  if (!Spec->ParseFromString(Item.Value)) {
-    LOG4CPLUS_ERROR(logOf("jobs"), LogFields("stored job cannot be parsed")
-                                       .add("job", Id)
-                                       .add("revision", Item.Revision));
-    return;
-  }
-  insert(std::move(Spec), Item.Revision);
+  if (auto Spec = readStoredJob(Item))
+    insert(std::move(Spec), Item.Revision);
 }
 
 void JobCatalog::insert(std::shared_ptr<const wire::TaskJobSpec> Spec,
--- a/src/tasks/intake/JobCatalog.h
+++ b/src/tasks/intake/JobCatalog.h
@@ -47,7 +47,7 @@
 };
 
 /// In-memory copy of all jobs in the store, for answering clients. Thread-safe.
-/// Records that cannot be parsed are logged and skipped.
+/// Records that are no accepted jobs are logged and skipped.
 class JobCatalog {
 public:
   /// \p Listener may be null and must outlive the catalog.
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -50,23 +50,23 @@
   return Spec;
 }
 
+/// Returns the configuration of the service sorter and of a queue of the
+/// service reader.
+OperatorSnapshot configuration() {
+  auto Config = std::make_shared<QueueConfig>();
+  Config->Services[ServiceName("sorter")];
+  Config->Queues.emplace_back();
+  Config->Queues[0].Service = ServiceName("reader");
+  return Config;
+}
+
 } // namespace
 
 TEST_GROUP(TaskCoordinator) {
   FakeKv Kv;
   Metrics Stats;
   CoordinatorRole Role{Kv, "front 1:1", Milliseconds(60000), [] {}};
-  TaskCoordinator Coordinator{Kv,
-                              {},
-                              []() -> OperatorSnapshot {
-                                auto Config = std::make_shared<QueueConfig>();
-                                Config->Services[ServiceName("sorter")];
-                                Config->Queues.emplace_back();
-                                Config->Queues[0].Service =
-                                    ServiceName("reader");
-                                return Config;
-                              },
-                              Stats};
+  TaskCoordinator Coordinator{Kv, {}, configuration, Stats};
 
   void setup() override {
     Role.start();
@@ -160,6 +160,19 @@
   Late.stop();
 }
 
+// Guards against a record of another writer on which one coordinator after the
+// other crashes as soon as it takes over.
+TEST(TaskCoordinator, CoordinatesBesideRecordsThatAreNoJobs) {
+  Coordinator.stop();
+  Kv.put(keys::job(JobId("empty")), "");
+  Kv.put(keys::job(JobId("job1")), jobOf("job1")->SerializeAsString());
+  TaskCoordinator Next(Kv, {}, configuration, Stats);
+  Next.start(Role);
+  CHECK_TRUE(waitUntil(
+      [&] { return Next.attend(reportOf("n1", 1, 0)).starts_size() == 1; }));
+  Next.stop();
+}
+
 // Guards against a lease that is extended before the agent knows the bars that
 // follow from its report of expired leases.
 TEST(TaskCoordinator, TellsWhichReportItHasApplied) {
--- a/tests/tasks/intake/JobCatalogTest.cpp
+++ b/tests/tasks/intake/JobCatalogTest.cpp
@@ -19,6 +19,7 @@
     wire::TaskJobSpec Spec;
     Spec.set_id(Id);
     Spec.set_queue("q");
+    Spec.add_steps()->set_count(1);
     Kv.put(keys::job(JobId(Id)), Spec.SerializeAsString());
   }
 };
@@ -41,6 +42,34 @@
   LONGS_EQUAL(0, Catalog.size());
 }
 
+// Guards against jobs of other writers, which no process can run.
+TEST(JobCatalog, SkipsRecordsThatNoEntryStores) {
+  const auto Put = [&](const std::string &Key, const auto &Change) {
+    wire::TaskJobSpec Spec;
+    Spec.set_id("a");
+    Spec.add_steps()->set_count(1);
+    Spec.add_steps()->set_count(1);
+    Spec.mutable_steps(1)->add_after(0);
+    Change(Spec);
+    Kv.put(keys::job(JobId(Key)), Spec.SerializeAsString());
+    Catalog.replaceAll(*Kv.list(keys::All));
+    return Catalog.size();
+  };
+  LONGS_EQUAL(0, Put("b", [](wire::TaskJobSpec &) {}));
+  LONGS_EQUAL(0, Put("a", [](wire::TaskJobSpec &Spec) { Spec.Clear(); }));
+  LONGS_EQUAL(0, Put("a", [](wire::TaskJobSpec &Spec) { Spec.clear_steps(); }));
+  LONGS_EQUAL(0, Put("a", [](wire::TaskJobSpec &Spec) {
+                Spec.mutable_steps(0)->set_count(4000000000);
+              }));
+  LONGS_EQUAL(0, Put("a", [](wire::TaskJobSpec &Spec) {
+                Spec.set_repeat_count(4000000000);
+              }));
+  LONGS_EQUAL(0, Put("a", [](wire::TaskJobSpec &Spec) {
+                Spec.mutable_steps(0)->add_after(1);
+              }));
+  LONGS_EQUAL(1, Put("a", [](wire::TaskJobSpec &) {}));
+}
+
 TEST(JobCatalog, TracksTheRoleHolder) {
   Kv.put(keys::Coordinator, "node address nonce");
   Catalog.replaceAll(*Kv.list(keys::All));
--- a/tests/tasks/intake/JobIntakeTest.cpp
+++ b/tests/tasks/intake/JobIntakeTest.cpp
@@ -20,6 +20,7 @@
     Spec.set_id(Id.str());
     Spec.set_queue("q");
     Spec.set_workspace("team");
+    Spec.add_steps()->set_count(1);
     return Spec;
   }
 
@@ -66,7 +67,7 @@
 // store: it would be accepted and never run.
 TEST(JobIntake, RefusesAJobThatCanNeverBeHeld) {
   wire::TaskJobSpec Large = spec();
-  Large.add_steps()->set_count(1000);
+  Large.mutable_steps(0)->set_count(1000);
   Large.set_repeat_count(11);
   const auto Refused = Intake.accept(Large);
   CHECK_FALSE(Refused.has_value());
