Fail jobs whose stored progress cannot be read

A head or page of progress that cannot be parsed, as another writer's, was left out, and a new coordinator took the job as never started: it started tasks that worked or had ended a second time (TWICE).

Nothing in the store tells any more which tasks have run, so that such a job cannot be completed without that risk. The new coordinator now fails it, stores that, so that its callers learn of it, and stops the runs that workers list. While the coordinator stays, it overwrites such a record as before.

Tests: TaskCoordinator.StartsNoTaskOfAJobWhoseProgressCannotBeRead failed before ("expected <0> but was <1>" starts); ProgressWriter.TellsWhetherAllRecordsOfAJobAreReadable.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -99,6 +99,21 @@
   Found->second.Revision = Revision;
 }
 
+void JobTracker::failUnreadable(const JobId &Id, std::int64_t Revision) {
+  const auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    return;
+  TaskJob &Job = Found->second;
+  fail(Job);
+  Job.Begun = true;
+  Job.Revision = Revision;
+  Dirty.insert(Id);
+  LOG4CPLUS_ERROR(logOf("jobs"),
+                  LogFields("job failed: its stored progress cannot be read")
+                      .add("job", Id)
+                      .add("revision", Revision));
+}
+
 void JobTracker::cancel(const JobId &Id, const ClockReading &) {
   const auto Found = Jobs.find(Id);
   if (Found == Jobs.end()) {
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -73,6 +73,9 @@
   void cancel(const JobId &Id, const ClockReading &Now);
   void restore(const JobId &Id, const wire::TaskJobProgress &Stored,
                std::int64_t Revision);
+  /// Fails a job whose stored progress, of \p Revision, cannot be read: its
+  /// tasks may have run or be running. Runs that are found are stopped.
+  void failUnreadable(const JobId &Id, std::int64_t Revision);
 
   /// Applies a report from the agent of a worker.
   void applyReport(const wire::TaskReport &Report, const ClockReading &Now);
--- a/src/tasks/coordination/ProgressPages.cpp
+++ b/src/tasks/coordination/ProgressPages.cpp
@@ -40,18 +40,22 @@
              const std::vector<StoreItem> &Pages) {
   std::map<JobId, StoredProgress> Found;
   for (const StoreItem &Item : Items) {
-    wire::TaskJobProgress Head;
-    if (Item.Key.rfind(keys::Progress, 0) == 0 &&
-        Head.ParseFromString(Item.Value))
-      Found[JobId(Item.Key.substr(keys::Progress.size()))] = {std::move(Head),
-                                                              Item.Revision};
+    if (Item.Key.rfind(keys::Progress, 0) != 0)
+      continue;
+    StoredProgress &Job = Found[JobId(Item.Key.substr(keys::Progress.size()))];
+    Job.Revision = Item.Revision;
+    Job.IsReadable = Job.Progress.ParseFromString(Item.Value);
   }
   for (const StoreItem &Item : Pages) {
     const std::string Name = Item.Key.substr(keys::ProgressPages.size());
     const auto Job = Found.find(JobId(Name.substr(0, Name.find('/'))));
+    if (Job == Found.end())
+      continue;
     wire::TaskJobProgress Page;
-    if (Job != Found.end() && Page.ParseFromString(Item.Value))
+    if (Page.ParseFromString(Item.Value))
       Job->second.Progress.mutable_tasks()->MergeFrom(Page.tasks());
+    else
+      Job->second.IsReadable = false;
   }
   return Found;
 }
--- a/src/tasks/coordination/ProgressPages.h
+++ b/src/tasks/coordination/ProgressPages.h
@@ -42,13 +42,15 @@
   wire::TaskJobProgress Progress;
   /// Revision of the head.
   std::int64_t Revision = 0;
+  /// False if the head or a page cannot be parsed.
+  bool IsReadable = true;
 };
 
 /// Whether any job among \p Items is so large that its progress has pages.
 bool mayHavePages(const std::vector<StoreItem> &Items);
 
-/// Joins the heads among \p Items with \p Pages. Pages without a head and
-/// records that cannot be parsed are left out. Writes are conditional on the
+/// Joins the heads among \p Items with \p Pages. Pages without a head are left
+/// out. Writes are conditional on the
 /// coordinator role, so that nothing changes while its new holder reads.
 std::map<JobId, StoredProgress>
 readProgress(const std::vector<StoreItem> &Items,
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -258,8 +258,12 @@
     if (Item.Key.rfind(keys::Jobs, 0) == 0)
       if (auto Spec = readStoredJob(Item))
         Tracker.addJob(std::move(Spec));
-  for (auto &[Id, Stored] : readProgress(All->Items, Pages->Items))
-    Tracker.restore(Id, Stored.Progress, Stored.Revision);
+  for (const auto &[Id, Stored] : readProgress(All->Items, Pages->Items)) {
+    if (Stored.IsReadable)
+      Tracker.restore(Id, Stored.Progress, Stored.Revision);
+    else
+      Tracker.failUnreadable(Id, Stored.Revision);
+  }
   for (const StoreItem &Item : All->Items)
     if (Item.Key.rfind(keys::Cancels, 0) == 0)
       Tracker.cancel(JobId(Item.Key.substr(keys::Cancels.size())), Now);
--- a/tests/tasks/coordination/ProgressWriterTest.cpp
+++ b/tests/tasks/coordination/ProgressWriterTest.cpp
@@ -131,6 +131,22 @@
     LONGS_EQUAL(7, Restored.task(Task).Run);
 }
 
+// Guards against tasks of a large job that run again, because the page that
+// holds them cannot be read.
+TEST(ProgressWriter, TellsWhetherAllRecordsOfAJobAreReadable) {
+  addJobs(1, ManyTasks);
+  place(0);
+  CHECK(WriteOutcome::Written == Writer.write(Term, Jobs, Dirty));
+  const auto IsReadable = [&] {
+    return readProgress(items(keys::All), items(keys::ProgressPages))
+        .at(job().id())
+        .IsReadable;
+  };
+  CHECK_TRUE(IsReadable());
+  Kv.put(keys::progressPage(job().id(), 3), "\xff\xff not a record");
+  CHECK_FALSE(IsReadable());
+}
+
 // Guards against writing all records of a large job for each task that changes.
 TEST(ProgressWriter, WritesOnlyThePagesThatHaveChanged) {
   addJobs(1, ManyTasks);
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -173,6 +173,33 @@
   Next.stop();
 }
 
+// Guards against a second run of a task that works or has ended, because its
+// unreadable progress counts as none.
+TEST(TaskCoordinator, StartsNoTaskOfAJobWhoseProgressCannotBeRead) {
+  Coordinator.stop();
+  Kv.put(keys::job(JobId("job1")), jobOf("job1")->SerializeAsString());
+  Kv.put(keys::progress(JobId("job1")), "\xff\xff not a record");
+  TaskCoordinator Next(Kv, {}, configuration, Stats);
+  Next.start(Role);
+  wire::TaskReport Report = reportOf("n1", 1, 0);
+  wire::RunStatus &Run = *Report.add_running();
+  Run.set_task("job1.0.0.0");
+  Run.set_run(1);
+  wire::TaskOrders Orders;
+  CHECK_TRUE(waitUntil([&] {
+    Orders = Next.attend(Report);
+    LONGS_EQUAL(0, Orders.starts_size());
+    return Orders.stops_size() == 1;
+  }));
+  // Its callers learn of it.
+  CHECK_TRUE(waitUntil([&] {
+    wire::TaskJobProgress Stored;
+    return Stored.ParseFromString(Kv.value(keys::progress(JobId("job1")))) &&
+           Stored.failed();
+  }));
+  Next.stop();
+}
+
 // Guards against a lease that is extended before the agent knows the bars that
 // follow from its report of expired leases.
 TEST(TaskCoordinator, TellsWhichReportItHasApplied) {
