Share three waits between tests of the task agent

The wait for a lease stood in four tests, the wait for a doubted candidate in two, and a lost start followed by the end of the worker in two.

--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -272,6 +272,35 @@
     CHECK_TRUE(waitUntil([&] { return last().sequence() > Sequence + 3; }));
   }
 
+  /// Waits until the worker has a lease.
+  void awaitLease() {
+    CHECK_TRUE(waitUntil([&] {
+      const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+      return Worker.Deadline.count() > 0;
+    }));
+  }
+
+  /// Waits until a candidate that was called has not proved itself.
+  void awaitDoubt() {
+    CHECK_TRUE(waitUntil([&] {
+      return Stats.text().find("candidates_doubted") != std::string::npos;
+    }));
+  }
+
+  /// Sends a start that the worker does not answer, and ends the worker.
+  void loseStartAndEndWorker() {
+    CHECK_TRUE(waitUntil([&] { return last().complete(); }));
+    {
+      const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+      Worker.LosesStarts = true;
+      Worker.RefusesStops = true;
+    }
+    order(1);
+    CHECK_TRUE(waitUntil([&] { return starts() == 1; }));
+    endWorker();
+    CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  }
+
   wire::TaskReport last() {
     const std::lock_guard<std::mutex> Lock(Mutex);
     return Last;
@@ -647,10 +676,7 @@
     LONGS_EQUAL(0, Worker.Deadline.count());
     Worker.RefusesStops = false;
   }
-  CHECK_TRUE(waitUntil([&] {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    return Worker.Deadline.count() > 0;
-  }));
+  awaitLease();
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.9", 4}));
 }
 
@@ -674,16 +700,7 @@
 // Guards against a task that runs twice because a start that a worker did not
 // answer is carried out by its next incarnation under the same id.
 TEST(TaskAgent, BarsUnansweredStartsOnTheNextIncarnationUnderTheId) {
-  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
-  {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    Worker.LosesStarts = true;
-    Worker.RefusesStops = true;
-  }
-  order(1);
-  CHECK_TRUE(waitUntil([&] { return starts() == 1; }));
-  endWorker();
-  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  loseStartAndEndWorker();
   {
     const std::lock_guard<std::mutex> Lock(Worker.Mutex);
     Worker.Refuses = false;
@@ -691,26 +708,14 @@
     Worker.Deadline = Milliseconds(0);
   }
   restartWorker(9);
-  CHECK_TRUE(waitUntil([&] {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    return Worker.Deadline.count() > 0;
-  }));
+  awaitLease();
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
 }
 
 // Guards against a task that runs twice because a start that a worker did not
 // answer is reported as barred while the worker starts again under its id.
 TEST(TaskAgent, ReportsAnUnansweredStartOfAnEndedWorkerAsBarredOnlyLater) {
-  CHECK_TRUE(waitUntil([&] { return last().complete(); }));
-  {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    Worker.LosesStarts = true;
-    Worker.RefusesStops = true;
-  }
-  order(1);
-  CHECK_TRUE(waitUntil([&] { return starts() == 1; }));
-  endWorker();
-  CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/none#1"; }));
+  loseStartAndEndWorker();
   const Instant Begin = monotonicNow();
   {
     const std::lock_guard<std::mutex> Lock(Mutex);
@@ -759,10 +764,7 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     Orders.set_applied_sequence(Last.sequence());
   }
-  CHECK_TRUE(waitUntil([&] {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    return Worker.Deadline.count() > 0;
-  }));
+  awaitLease();
 }
 
 // Guards against a task that runs twice because a start of an earlier agent,
@@ -791,10 +793,7 @@
     LONGS_EQUAL(0, Worker.Deadline.count());
     Worker.RefusesStops = false;
   }
-  CHECK_TRUE(waitUntil([&] {
-    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
-    return Worker.Deadline.count() > 0;
-  }));
+  awaitLease();
   LONGS_EQUAL(1, Worker.Barred.count({"j.0.0.0", 1}));
 }
 
@@ -931,9 +930,7 @@
   Other.Id = "i-2";
   Other.Address = NoWorkersAddress;
   Agent->onHeartbeat(Other);
-  CHECK_TRUE(waitUntil([&] {
-    return Stats.text().find("candidates_doubted") != std::string::npos;
-  }));
+  awaitDoubt();
   awaitReports();
   STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
   LONGS_EQUAL(1, last().running_size());
@@ -946,9 +943,7 @@
   order(1);
   CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
   Agent->onHeartbeat(heartbeat(8, 1000));
-  CHECK_TRUE(waitUntil([&] {
-    return Stats.text().find("candidates_doubted") != std::string::npos;
-  }));
+  awaitDoubt();
   awaitReports();
   STRCMP_EQUAL("n1/i-1#7", last().worker().c_str());
   LONGS_EQUAL(1, last().running_size());
