--- a/review/standins-3/Call.cpp
+++ b/review/standins-3/Call.cpp
@@ -83,8 +83,8 @@
 } // namespace
 
 int runFlood(const std::vector<std::string> &Arguments) {
-  const std::string Host = Arguments.at(0);
-  const std::string Key = Arguments.at(1);
+  const std::string &Host = Arguments.at(0);
+  const std::string &Key = Arguments.at(1);
   const std::string Body = bodyOf(Arguments.at(2));
   const int Count = std::stoi(Arguments.at(3));
   const int Threads = std::stoi(Arguments.at(4));
@@ -94,6 +94,7 @@
   std::atomic<int> Next{0};
   std::mutex Mutex;
   std::vector<std::thread> Clients;
+  Clients.reserve(static_cast<std::size_t>(Threads));
   for (int Thread = 0; Thread < Threads; ++Thread)
     Clients.emplace_back([&, Thread] {
       Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(
--- a/review/standins-3/Store.cpp
+++ b/review/standins-3/Store.cpp
@@ -320,7 +320,7 @@
   Answer answer(const Poco::Net::HTTPServerRequest &Request,
                 const std::string &Body) {
     const Poco::URI Uri(Request.getURI());
-    const std::string Path = Uri.getPath();
+    const std::string &Path = Uri.getPath();
     std::map<std::string, std::string> Query;
     for (const auto &[Name, Value] : Uri.getQueryParameters())
       Query[Name] = Value;
