--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -70,9 +70,10 @@
 node=$node
 machine_class=$class
 ip=$ip
-zone=fukuoka-a
-region=fukuoka
+zone=${ZONE:-fukuoka-a}
+region=${REGION:-fukuoka}
 zones.fukuoka-a=fukuoka
+zones.kumamoto-a=kumamoto
 listen.front=$ip:8521
 listen.ready=$ip:8523
 listen.control=$ip:8526
@@ -80,7 +81,7 @@
 bootstrap=true
 limits.cpu_share=0.25
 limits.cores=1
-limits.memory_mb=260
+limits.memory_mb=${MEMORY_MB:-260}
 limits.max_fds=4100
 discovery=local
 entry=vip
@@ -195,6 +196,17 @@
   quit 2 "the job was not accepted"
 }
 
+# flood KEY=VALUE...: hands in many jobs; see review/standins-2/Flood.cpp.
+flood() {
+  local options=() each
+  for each in "$@"; do options+=("--$each"); done
+  "$STANDIN" flood --host="$HOST" --key=key-t --record="$RECORD" \
+    "${options[@]}"
+}
+
+# flooded: the ids of the jobs of a flood that were accepted.
+flooded() { sed -nE 's/.* flood ([0-9]+) answered 200$/\1/p' "$RECORD"; }
+
 state_of() { ask 1 GET "$1" | sed -n 's/.*"state":"\([a-z]*\)".*/\1/p'; }
 
 # wait_for SECONDS COMMAND...: repeats a command until it succeeds.
--- a/review/standins-2/Common.h
+++ b/review/standins-2/Common.h
@@ -81,6 +81,7 @@
 int runStore(const Options &Given);
 int runWorker(const Options &Given);
 int runCall(const Options &Given);
+int runFlood(const Options &Given);
 int runProxy(const Options &Given);
 
 } // namespace review
--- a/review/standins-2/Main.cpp
+++ b/review/standins-2/Main.cpp
@@ -19,10 +19,12 @@
       return review::runProxy(Given);
     if (Role == "call")
       return review::runCall(Given);
+    if (Role == "flood")
+      return review::runFlood(Given);
   } catch (const std::exception &Fault) {
     std::cerr << Fault.what() << '\n';
     return 2;
   }
-  std::cerr << "usage: standin store|worker|proxy|call --name=value...\n";
+  std::cerr << "usage: standin store|worker|proxy|call|flood --name=value...\n";
   return 2;
 }
--- a/review/standins-2/Store.cpp
+++ b/review/standins-2/Store.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <deque>
 #include <fstream>
+#include <memory>
 #include <mutex>
 #include <sstream>
 #include <thread>
@@ -18,6 +20,9 @@
 namespace {
 
 constexpr std::size_t PageItems = 500;
+constexpr std::size_t PageBytes = 1 << 20;
+/// History that the store keeps, platform.history_s of the settings.
+constexpr std::int64_t HistoryMs = 20000;
 constexpr std::int64_t MaxWaitMs = 30000;
 constexpr std::int64_t LeaseCheckMs = 20;
 constexpr std::int64_t FirstRevision = 100;
@@ -47,8 +52,9 @@
 struct Event {
   std::string Key;
   std::int64_t Revision = 0;
-  bool IsDeleted = false;
-  Item Written;
+  std::int64_t AtMs = 0;
+  /// Null for a deletion.
+  std::shared_ptr<const Item> Written;
 };
 
 struct Lease {
@@ -140,6 +146,35 @@
     return Found == Call.Query.end() ? "" : Found->second;
   }
 
+  /// The text of a row, made without a JSON library, as large ones are many.
+  /// Neither the keys nor the encoded values contain what JSON escapes.
+  static std::string rowText(const std::string &Key, const Item &From) {
+    return "{\"key\":\"" + Key + "\",\"value\":\"" + From.Value +
+           "\",\"revision\":" + std::to_string(From.Revision) +
+           ",\"created\":" + std::to_string(From.Created) +
+           ",\"lease\":" + std::to_string(From.Lease) + "}";
+  }
+
+  static std::string rowText(const Event &From) {
+    return From.Written
+               ? rowText(From.Key, *From.Written)
+               : "{\"key\":\"" + From.Key +
+                     "\",\"revision\":" + std::to_string(From.Revision) +
+                     ",\"deleted\":true}";
+  }
+
+  static void addRow(std::string &Rows, const std::string &Row) {
+    Rows += Rows.empty() ? "" : ",";
+    Rows += Row;
+  }
+
+  void discardHistory() {
+    while (!History.empty() && nowMs() - History.front().AtMs > HistoryMs) {
+      Discarded = History.front().Revision;
+      History.pop_front();
+    }
+  }
+
   static Object row(const std::string &Key, const Item &From) {
     Object Row = new Poco::JSON::Object;
     Row->set("key", Key);
@@ -158,7 +193,8 @@
     Kept.Value = Encoded;
     Kept.Revision = Revision;
     Kept.Lease = Lease;
-    History.push_back({Key, Revision, false, Kept});
+    History.push_back(
+        {Key, Revision, nowMs(), std::make_shared<const Item>(Kept)});
     if (Key == "baobabcove/coordinator")
       Events.note("store " + Key + " = " + decode(Encoded) + " revision " +
                   std::to_string(Revision));
@@ -167,7 +203,7 @@
   void remove(const std::string &Key) {
     if (!Items.erase(Key))
       return;
-    History.push_back({Key, Revision, true, {}});
+    History.push_back({Key, Revision, nowMs(), nullptr});
     if (Key == "baobabcove/coordinator")
       Events.note("store " + Key + " removed");
   }
@@ -199,23 +235,23 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     const std::string Prefix = parameter(Call, "prefix");
     const std::string After = parameter(Call, "after");
-    Array Rows = new Poco::JSON::Array;
+    std::string Rows;
+    std::size_t Count = 0;
     bool HasMore = false;
     for (auto At = Items.lower_bound(Prefix); At != Items.end(); ++At) {
       if (At->first.rfind(Prefix, 0) != 0)
         break;
       if (!After.empty() && At->first <= After)
         continue;
-      HasMore = Rows->size() == PageItems;
+      HasMore = Count == PageItems || Rows.size() > PageBytes;
       if (HasMore)
         break;
-      Rows->add(row(At->first, At->second));
+      addRow(Rows, rowText(At->first, At->second));
+      ++Count;
     }
-    Object Body = new Poco::JSON::Object;
-    Body->set("items", Rows);
-    Body->set("more_pages", HasMore);
-    Body->set("current_rev", Revision);
-    return {200, textOf(Body)};
+    return {200, "{\"items\":[" + Rows +
+                     "],\"more_pages\":" + (HasMore ? "true" : "false") +
+                     ",\"current_rev\":" + std::to_string(Revision) + "}"};
   }
 
   Response watch(const Request &Call) {
@@ -225,29 +261,20 @@
         MaxWaitMs, std::int64_t(std::stoll("0" + parameter(Call, "wait_ms"))));
     const std::int64_t Until = nowMs() + Wait;
     std::unique_lock<std::mutex> Lock(Mutex);
-    Array Rows = new Poco::JSON::Array;
+    std::string Rows;
     for (;;) {
-      for (const Event &Each : History) {
-        if (Each.Revision <= After || Each.Key.rfind(Prefix, 0) != 0)
-          continue;
-        if (!Each.IsDeleted) {
-          Rows->add(row(Each.Key, Each.Written));
-          continue;
-        }
-        Object Row = new Poco::JSON::Object;
-        Row->set("key", Each.Key);
-        Row->set("revision", Each.Revision);
-        Row->set("deleted", true);
-        Rows->add(Row);
-      }
-      if (Rows->size() > 0 || nowMs() >= Until)
+      discardHistory();
+      if (After < Discarded)
+        return {410, "{}"};
+      for (const Event &Each : History)
+        if (Each.Revision > After && Each.Key.rfind(Prefix, 0) == 0)
+          addRow(Rows, rowText(Each));
+      if (!Rows.empty() || nowMs() >= Until)
         break;
       Changed.wait_for(Lock, std::chrono::milliseconds(Until - nowMs()));
     }
-    Object Body = new Poco::JSON::Object;
-    Body->set("events", Rows);
-    Body->set("current_rev", Revision);
-    return {200, textOf(Body)};
+    return {200, "{\"events\":[" + Rows +
+                     "],\"current_rev\":" + std::to_string(Revision) + "}"};
   }
 
   Response commit(const Object &Change) {
@@ -328,7 +355,9 @@
   std::mutex Mutex;
   std::condition_variable Changed;
   std::map<std::string, Item> Items;
-  std::vector<Event> History;
+  std::deque<Event> History;
+  /// Revision of the last event that was discarded.
+  std::int64_t Discarded = 0;
   std::map<std::int64_t, Lease> Leases;
   std::int64_t Revision = FirstRevision;
   std::int64_t LastLease = 0;
--- a/review/standins-2/Worker.cpp
+++ b/review/standins-2/Worker.cpp
@@ -1,15 +1,19 @@
 // A worker as the platform's pages describe it: it starts, stops and lists runs
 // on orders, kills them when its lease is over, and reports to the agent beside
-// it. What a task does is written in its text: "work_ms=4000 gpu=8 gang=2".
+// it. What a task does is written in its text: "work_ms=4000 gpu=8 gang=2". On
+// SIGHUP it starts again under its id.
 
 #include "Common.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
+#include <csignal>
 #include <deque>
 #include <filesystem>
 #include <fstream>
 #include <mutex>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -29,6 +33,9 @@
 constexpr std::int64_t BetweenRegionsMs = 12;
 constexpr std::int64_t AllPercent = 100;
 
+/// Set by SIGHUP.
+std::atomic<bool> AgainRequested{false};
+
 struct Run {
   std::int64_t Number = 0;
   std::int64_t Since = 0;
@@ -138,10 +145,28 @@
     return hold(Order, Lock);
   }
 
+  /// Starts again empty under the same id. The socket on which it listens stays
+  /// open, as with a supervisor that hands it over; its connections end.
+  void startAgain() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Running.clear();
+    Ends.clear();
+    Barred.clear();
+    LastEnd = Fence = LeaseUntil = Sequence = 0;
+    BornAt = nowMs();
+    BornMs = unixMs();
+    ++Life;
+    AnswersToLose = Given.number("lost_listings", 0);
+    note("started again, born " + std::to_string(BornMs));
+    Changed.notify_all();
+  }
+
   /// Moves time on until the process ends.
   void live() {
     for (;;) {
       sleepMs(TickMs);
+      if (AgainRequested.exchange(false))
+        startAgain();
       const std::lock_guard<std::mutex> Lock(Mutex);
       advance();
     }
@@ -197,7 +222,7 @@
     Capacity->set("mem_mb", Given.number("mem_mb", 131072));
     Capacity->set("gpu", Given.number("gpu", 8));
     Array Labels = new Poco::JSON::Array;
-    Labels->add("a");
+    Labels->add(Given.text("kind", "a"));
     Labels->add(Given.text("rack", "r1"));
     Object Body = reply();
     Body->set("born", BornMs);
@@ -316,7 +341,10 @@
     return {200, textOf(reply())};
   }
 
-  Response hold(const Object &Order, std::unique_lock<std::mutex> &Lock) {
+  /// Returns nothing if the answer is lost.
+  std::optional<Response> hold(const Object &Order,
+                               std::unique_lock<std::mutex> &Lock) {
+    const std::int64_t Now = Life;
     const auto Through = Order->optValue<std::int64_t>("acked_through", 0);
     while (!Ends.empty() && Ends.front().Number <= Through) {
       note("acknowledged " + Ends.front().Task + " run " +
@@ -326,7 +354,14 @@
     const std::int64_t Wait =
         std::min(MaxWaitMs, Order->optValue<std::int64_t>("wait_ms", 0));
     Changed.wait_for(Lock, std::chrono::milliseconds(Wait),
-                     [&] { return !Ends.empty(); });
+                     [&] { return Life != Now || !Ends.empty(); });
+    if (Life != Now)
+      return std::nullopt;
+    if (AnswersToLose > 0) {
+      --AnswersToLose;
+      note("answer to a listing lost");
+      return std::nullopt;
+    }
     Array RunningRows = new Poco::JSON::Array;
     for (const auto &[Task, Each] : Running) {
       const std::int64_t Done =
@@ -357,7 +392,7 @@
     Body->set("born", BornMs);
     Body->set("running", RunningRows);
     Body->set("ended", EndRows);
-    return {200, textOf(Body)};
+    return Response{200, textOf(Body)};
   }
 
   const Options Given;
@@ -370,8 +405,8 @@
   const std::int64_t GangWaitMs;
   const std::int64_t FailsAfterMs;
   const std::int64_t StartMs;
-  const std::int64_t BornAt;
-  const std::int64_t BornMs;
+  std::int64_t BornAt;
+  std::int64_t BornMs;
   const Gangs Members;
   const Record Events;
 
@@ -385,11 +420,15 @@
   std::int64_t Fence = 0;
   std::int64_t LeaseUntil = 0;
   std::int64_t Sequence = 0;
+  /// Number of the present life, and of answers to lose in it.
+  std::int64_t Life = 0;
+  std::int64_t AnswersToLose = 0;
 };
 
 } // namespace
 
 int runWorker(const Options &Given) {
+  (void)std::signal(SIGHUP, [](int) { AgainRequested = true; });
   Worker Self(Given);
   const auto Server = serve(Self.address(), [&Self](const Request &Call) {
     return Self.answer(Call);
