Test workers hear of the end of another gang member 12 ms late

WorkerFleet ended every other member as broken in the moment in which one failed, so that no two members of a run could end failed: no test and no seed of the soak could see what a coordinator makes of such a run. failGang() ends all members of a run at once; TaskDeployment takes the number of attempts.

No logic of the product is changed.

--- a/tests/support/TaskDeployment.cpp
+++ b/tests/support/TaskDeployment.cpp
@@ -14,12 +14,12 @@
 
 /// Returns a route for \p Prefix.
 std::string routeText(const std::string &Name, const std::string &Prefix,
-                      const std::string &Service) {
+                      const std::string &Service, int MaxAttempts) {
   return R"({"name":")" + Name + R"(","host":"jobs.example","prefix":")" +
          Prefix + R"(","service":")" + Service +
          R"(","allow_anonymous":true,"priority":1,"stretch":3.0,)" +
          R"("target_latency_ms":1200,"max_attempts":)" +
-         std::to_string(MaxTaskAttempts) + "}";
+         std::to_string(MaxAttempts) + "}";
 }
 
 /// Returns the address of process \p N of a kind. The last byte of the test's
@@ -45,7 +45,8 @@
 }
 
 TaskDeployment::TaskDeployment(std::size_t EntryCount, std::size_t AgentCount,
-                               unsigned Seed) {
+                               unsigned Seed, int Attempts)
+    : MaxAttempts(Attempts) {
   changeConfig(1, 0);
   std::vector<std::string> WorkerIps;
   for (std::size_t N = 0; N < AgentCount; ++N) {
@@ -66,11 +67,11 @@
 void TaskDeployment::changeConfig(int Step, int MoreRoutes) {
   const std::lock_guard<std::mutex> Lock(ConfigMutex);
   ConfigVersion += Step;
-  std::string Routes = routeText("q", "/queue/", "planner");
+  std::string Routes = routeText("q", "/queue/", "planner", MaxAttempts);
   for (int R = 0; R < MoreRoutes; ++R) {
     const std::string Name = "r" + std::to_string(ConfigVersion % 3 + R);
-    Routes +=
-        "," + routeText(Name, "/" + Name + "/", R % 2 ? "planner" : "other");
+    Routes += "," + routeText(Name, "/" + Name + "/",
+                              R % 2 ? "planner" : "other", MaxAttempts);
   }
   if (Fleet)
     Fleet->note("config version " + std::to_string(ConfigVersion));
--- a/tests/support/TaskDeployment.h
+++ b/tests/support/TaskDeployment.h
@@ -25,8 +25,9 @@
 /// agent. The entries serve one queue.
 class TaskDeployment {
 public:
+  /// The queue allows \p MaxAttempts runs of a task to fail.
   TaskDeployment(std::size_t EntryCount, std::size_t AgentCount,
-                 unsigned Seed = 1);
+                 unsigned Seed = 1, int MaxAttempts = MaxTaskAttempts);
 
   /// Writes a configuration whose version is \p Step higher, with the queue and
   /// \p MoreRoutes others. Thread-safe.
@@ -40,6 +41,7 @@
   std::size_t FirstEntryDoor = 0;
 
 private:
+  const int MaxAttempts;
   std::mutex ConfigMutex;
   int ConfigVersion = 0;
 };
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -79,6 +79,9 @@
   /// Delay. An empty path ends that.
   void delayCalls(std::size_t Worker, const std::string &Path,
                   Milliseconds Delay);
+  /// Ends all members of a gang of the job \p Id as failed before any of them
+  /// hears of another's end. Returns their number; zero unless all are running.
+  std::size_t failGang(const std::string &Id);
   /// While set, a worker sends no heartbeats of its own.
   void setSilent(std::size_t Worker, bool IsSilent);
 
@@ -166,6 +169,13 @@
     std::int64_t BornMs = 0;
     HttpRequest Request;
   };
+  /// A run of a gang of which one member has ended.
+  struct BrokenGang {
+    /// When the other members hear of it.
+    Instant Due{};
+    std::string Step;
+    std::uint64_t Run = 0;
+  };
   struct SentHeartbeat {
     std::string Id;
     std::string Body;
@@ -238,6 +248,8 @@
                std::int64_t Accelerators) const;
   void advance(Milliseconds Passed);
   void advanceGangs(Milliseconds Passed);
+  /// Ends the other members of broken gangs.
+  void breakGangs();
   void lapse(Worker &At);
   void checkRuns();
   void checkWaits();
@@ -254,6 +266,7 @@
   std::vector<std::unique_ptr<Worker>> Workers;
   std::map<std::string, Accepted> Jobs;
   std::map<std::string, std::size_t> Starts;
+  std::deque<BrokenGang> BrokenGangs;
   RunJudge Judge;
   Dice LateDice;
   std::size_t StartCount = 0;
--- a/tests/support/WorkerFleetRuns.cpp
+++ b/tests/support/WorkerFleetRuns.cpp
@@ -11,6 +11,8 @@
 
 constexpr Milliseconds GangTimeout{4000};
 constexpr Milliseconds FailsAfter{80};
+/// Time until workers in other regions hear of the end of a gang's member.
+constexpr Milliseconds GangNewsDelay{12};
 /// The users' bounds: a job may have nothing running for this long, once no
 /// fault has been near for CalmAfter.
 constexpr Milliseconds MaxIdleWait{3000};
@@ -40,7 +42,8 @@
                At.Ip);
   }
   if (IsGang && How != "done" && How != "broken")
-    endGang(stepOf(Task), Number, "broken");
+    BrokenGangs.push_back(
+        {monotonicNow() + GangNewsDelay, stepOf(Task), Number});
   Changed.notify_all();
 }
 
@@ -58,6 +61,30 @@
   }
 }
 
+void WorkerFleet::breakGangs() {
+  const Instant Now = monotonicNow();
+  for (; !BrokenGangs.empty() && BrokenGangs.front().Due <= Now;
+       BrokenGangs.pop_front())
+    endGang(BrokenGangs.front().Step, BrokenGangs.front().Run, "broken");
+}
+
+std::size_t WorkerFleet::failGang(const std::string &Id) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::vector<std::pair<Worker *, std::string>> Members;
+  std::size_t GangSize = 0;
+  for (const auto &At : Workers)
+    for (const auto &[Task, Each] : At->Running)
+      if (Each.GangSize > 1 && jobOf(Task) == Id) {
+        Members.emplace_back(At.get(), Task);
+        GangSize = Each.GangSize;
+      }
+  if (Members.size() != GangSize)
+    return 0;
+  for (const auto &[At, Task] : Members)
+    end(*At, Task, "failed");
+  return GangSize;
+}
+
 void WorkerFleet::endAll(Worker &At, const std::string &How) {
   while (!At.Running.empty())
     end(At, At.Running.begin()->first, How);
@@ -80,6 +107,7 @@
 
 void WorkerFleet::advance(Milliseconds Passed) {
   const Instant Now = monotonicNow();
+  breakGangs();
   for (const auto &At : Workers) {
     if (!At->IsUp && !At->IsClosing && Now >= At->UpAgain)
       comeBack(*At);
