Log each failed attempt with its run, the count and the limit

The incident leaves three explanations open: one run of a gang counts once for each member, an end that is listed again counts again, or several runs did fail. The lines 'run ended' and 'job failed' do not tell which run a count belongs to. 'attempt failed' names task, run, worker, count and max_attempts.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -382,6 +382,12 @@
   // Failures of a gang are counted at its first member.
   TaskState &FailureCounter = Job.task(Job.firstOfUnit(At.Task));
   ++FailureCounter.Failures;
+  LOG4CPLUS_INFO(runLog(), LogFields("attempt failed")
+                               .add("task", toText(Job.name(At.Task)))
+                               .add("run", Job.task(At.Task).Run)
+                               .add("worker", Job.task(At.Task).Worker)
+                               .add("failures", FailureCounter.Failures)
+                               .add("max_attempts", Job.spec().max_attempts()));
   requeue(At, Now, Milliseconds(0));
   if (LongRunning || Job.task(At.Task).Phase == wire::TASK_DONE ||
       FailureCounter.Failures < Job.spec().max_attempts() || Job.isOver())
