Reproduce: a run of a gang counts once for each member that failed

Five of them show a gang as failed by members' ends of one run: in one report, in several, and around a takeover. One shows the opposite: an end that is heard after the lease was given up does not count, so that the task gets a run more than max_attempts. The other five pass and guard the fix against its opposite errors: an end that is listed again, a broken member that is heard first, and ends after a cancellation or a completion.

--- /dev/null
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -0,0 +1,276 @@
+// Which ends of runs use up the attempts of a task or of a gang. A run counts
+// once, however many of its members fail and however often their ends are
+// reported.
+
+#include "tasks/coordination/JobTracker.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace baobabcove;
+
+TEST_GROUP(FailedAttempts) {
+  JobTracker Tracker;
+  ClockReading Now{BootInstant(Milliseconds(100000)), 1000000};
+  std::shared_ptr<wire::TaskJobSpec> Spec;
+  /// Reports of the workers, by node.
+  std::map<std::string, wire::TaskReport> Workers;
+  /// Number of the last end, by node.
+  std::map<std::string, std::uint64_t> LastEnd;
+
+  void addWorkers(int Count) {
+    for (int N = 0; N < Count; ++N) {
+      const std::string Node = "n" + std::to_string(N);
+      wire::TaskReport &Report = Workers[Node];
+      Report.set_node(Node);
+      Report.set_worker(Node + "/w#1");
+      Report.set_service("planner");
+      Report.set_milli_cores(32000);
+      Report.set_memory_mb(131072);
+      Report.set_accelerators(8);
+      Report.set_complete(true);
+      Report.set_agent_life(1);
+    }
+  }
+
+  /// Adds the job "j" with \p Tasks tasks that need \p Accelerators each.
+  void addJob(bool IsGang, std::uint32_t Tasks, std::int64_t Accelerators,
+              std::uint32_t MaxAttempts = 2) {
+    Spec = std::make_shared<wire::TaskJobSpec>();
+    Spec->set_id("j");
+    Spec->set_queue("q");
+    Spec->set_service("planner");
+    Spec->set_max_attempts(MaxAttempts);
+    Spec->set_stretch(3);
+    wire::StepSpec &Step = *Spec->add_steps();
+    Step.set_count(Tasks);
+    Step.set_accelerators(Accelerators);
+    Step.set_gang(IsGang);
+    Tracker.addJob(Spec);
+  }
+
+  TaskJob &job() { return Tracker.jobs().at(JobId("j")); }
+
+  void plan() {
+    std::vector<wire::TaskReport> Reports;
+    for (const auto &[Node, Report] : Workers)
+      Reports.push_back(Report);
+    // A unit avoids the workers where it failed for 3 s.
+    Now.Boot += Milliseconds(4000);
+    Now.UnixMs += 4000;
+    Tracker.plan(Reports, QueueConfig(), Now);
+  }
+
+  /// Places the unit of the first task, which gets run \p Run.
+  void placeRun(std::uint64_t Run) {
+    plan();
+    CHECK(wire::TASK_PLACED == job().task(0).Phase);
+    LONGS_EQUAL(Run, job().task(0).Run);
+  }
+
+  std::string nodeOfTask(std::size_t At) {
+    return nodeOf(job().task(At).Worker).str();
+  }
+
+  /// Lets the worker \p Node list the end of run \p Run of a task.
+  void listEnd(const std::string &Node, std::size_t At, std::uint64_t Run,
+               wire::RunEnding How) {
+    wire::RunEnd &End = *Workers[Node].add_ends();
+    End.set_number(++LastEnd[Node]);
+    End.set_task(toText(job().name(At)));
+    End.set_run(Run);
+    End.set_ending(How);
+  }
+
+  void report(const std::string &Node) {
+    Tracker.applyReport(Workers[Node], Now);
+  }
+
+  /// Lists the end of the current run of a task where it was placed, and
+  /// reports it.
+  void endRun(std::size_t At, wire::RunEnding How) {
+    const std::string Node = nodeOfTask(At);
+    listEnd(Node, At, job().task(At).Run, How);
+    report(Node);
+  }
+
+  /// Lets the next coordinator start from what the last one stored.
+  void takeOver() {
+    const wire::TaskJobProgress Stored = job().progress();
+    restoreFrom(Stored);
+  }
+
+  void restoreFrom(const wire::TaskJobProgress &Stored) {
+    Tracker.clear();
+    Tracker.addJob(Spec);
+    Tracker.restore(JobId("j"), Stored, 1);
+  }
+
+  void expectFailed(bool IsFailed) {
+    Tracker.finishJobs(Now);
+    CHECK_EQUAL(IsFailed, job().Failed);
+  }
+};
+
+// Guards against a gang that is shown as failed after one run because all its
+// members on one worker ended failed and one report listed their ends.
+TEST(FailedAttempts, GangIsNotFailedByOneRunWhoseEndsAreListedTogether) {
+  addWorkers(1);
+  addJob(true, 4, 2);
+  placeRun(1);
+  for (std::size_t At = 0; At < 4; ++At)
+    listEnd("n0", At, 1, wire::RUN_FAILED);
+  report("n0");
+  expectFailed(false);
+  placeRun(2);
+}
+
+// Guards against a gang that is shown as failed after one run because its
+// members on several workers ended failed before they heard of each other.
+TEST(FailedAttempts, GangIsNotFailedByOneRunThatFailsOnSeveralWorkers) {
+  addWorkers(6);
+  addJob(true, 6, 8);
+  placeRun(1);
+  for (std::size_t At = 0; At < 6; ++At)
+    endRun(At, wire::RUN_FAILED);
+  expectFailed(false);
+  placeRun(2);
+}
+
+// Guards against a gang that is started more often than its attempts allow.
+TEST(FailedAttempts, GangFailsWithItsLastAllowedRun) {
+  addWorkers(2);
+  addJob(true, 2, 8, 3);
+  for (std::uint64_t Run = 1; Run <= 3; ++Run) {
+    expectFailed(false);
+    placeRun(Run);
+    endRun(0, wire::RUN_FAILED);
+    endRun(1, wire::RUN_FAILED);
+  }
+  expectFailed(true);
+  plan();
+  LONGS_EQUAL(3, job().task(0).Run);
+}
+
+// Guards against a run of a gang that counts twice because another coordinator
+// hears of the second member's end.
+TEST(FailedAttempts, GangIsNotFailedByEndsOfOneRunAroundATakeover) {
+  addWorkers(2);
+  addJob(true, 2, 8);
+  placeRun(1);
+  endRun(0, wire::RUN_FAILED);
+  takeOver();
+  endRun(1, wire::RUN_FAILED);
+  expectFailed(false);
+  placeRun(2);
+}
+
+// Guards against an end that counts twice because the coordinator that stored
+// it was gone before it acknowledged the end.
+TEST(FailedAttempts, EndThatIsListedAgainAfterATakeoverCountsOnce) {
+  for (const bool IsGang : {false, true}) {
+    Tracker.clear();
+    Workers.clear();
+    addWorkers(1);
+    addJob(IsGang, 1, 8);
+    placeRun(1);
+    endRun(0, wire::RUN_FAILED);
+    takeOver();
+    report("n0");
+    expectFailed(false);
+    placeRun(2);
+    report("n0");
+    expectFailed(false);
+  }
+}
+
+// Guards against a run that does not count because a member's end as broken is
+// heard before the end as failed that caused it.
+TEST(FailedAttempts, GangIsFailedByARunWhoseBrokenMemberIsHeardFirst) {
+  addWorkers(2);
+  addJob(true, 2, 8, 1);
+  placeRun(1);
+  endRun(0, wire::RUN_BROKEN);
+  expectFailed(false);
+  endRun(1, wire::RUN_FAILED);
+  expectFailed(true);
+}
+
+// Guards against a task that is started once more because its worker lists its
+// end as failed only after the lease was given up.
+TEST(FailedAttempts, EndThatIsHeardAfterTheLeaseExpiredCounts) {
+  addWorkers(2);
+  addJob(false, 1, 8);
+  placeRun(1);
+  const std::string First = nodeOfTask(0);
+  Tracker.expireLeases(NodeId(First), Now);
+  placeRun(2);
+  endRun(0, wire::RUN_FAILED);
+  expectFailed(false);
+  listEnd(First, 0, 1, wire::RUN_FAILED);
+  report(First);
+  expectFailed(true);
+  plan();
+  LONGS_EQUAL(2, job().task(0).Run);
+}
+
+// Guards against a run of a gang that counts twice because one member's end is
+// heard before the other's lease was given up, and the other's afterwards.
+TEST(FailedAttempts, EndsOfOneRunBeforeAndAfterTheNextStartCountOnce) {
+  addWorkers(4);
+  addJob(true, 2, 8);
+  placeRun(1);
+  const std::string Second = nodeOfTask(1);
+  endRun(0, wire::RUN_FAILED);
+  Tracker.expireLeases(NodeId(Second), Now);
+  placeRun(2);
+  listEnd(Second, 1, 1, wire::RUN_FAILED);
+  report(Second);
+  expectFailed(false);
+  endRun(0, wire::RUN_FAILED);
+  expectFailed(true);
+}
+
+// Guards against a completed job that is shown as failed because an earlier
+// run's end is heard late.
+TEST(FailedAttempts, LateEndDoesNotFailACompletedTask) {
+  addWorkers(2);
+  addJob(false, 1, 8, 1);
+  placeRun(1);
+  const std::string First = nodeOfTask(0);
+  Tracker.expireLeases(NodeId(First), Now);
+  placeRun(2);
+  endRun(0, wire::RUN_DONE);
+  listEnd(First, 0, 1, wire::RUN_FAILED);
+  report(First);
+  expectFailed(false);
+  CHECK(JobStatus::Completed == job().status());
+}
+
+// Guards against a cancelled job that is shown as failed because it was
+// cancelled between the ends of one run.
+TEST(FailedAttempts, EndAfterTheCancellationDoesNotFailAJob) {
+  addWorkers(2);
+  addJob(true, 2, 8);
+  placeRun(1);
+  endRun(0, wire::RUN_FAILED);
+  Tracker.cancel(JobId("j"), Now);
+  endRun(1, wire::RUN_FAILED);
+  expectFailed(false);
+  CHECK(JobStatus::Cancelled == job().status());
+}
+
+// Guards against failures in one occurrence that use up the attempts of
+// another.
+TEST(FailedAttempts, OccurrencesOfARepeatedJobCountSeparately) {
+  addWorkers(4);
+  addJob(true, 2, 8);
+  // Added again with two occurrences that are due.
+  Tracker.clear();
+  Spec->set_repeat_count(2);
+  Tracker.addJob(Spec);
+  placeRun(1);
+  for (std::size_t At = 0; At < 4; ++At)
+    endRun(At, wire::RUN_FAILED);
+  expectFailed(false);
+  placeRun(2);
+}
