Count a failed run of a gang once, whoever reports its ends

What callers saw: several members of one run of a gang ended failed together, and the job was shown as failed although it had attempts left (LOST).

Cause: an effect that belongs to a run was applied once for each member's end. recordFailure() added one for each end, requeue() leaves the other members placed, and nothing, in memory or stored, said which run was counted. The opposite was there, too: the end of a run that is not the current one any more, because its lease was given up, was acknowledged without being counted, so that a task could get more runs than max_attempts (BUDGET).

The fix: FailedRuns keeps the numbers of the failed runs of a unit and is stored with it, so that an end counts if its run does not count yet: in whichever order the members are heard, before or after a takeover, a lapse or the next start. A record without numbers, as earlier releases wrote it, counts the latest run as known once one of its members has ended.

--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -60,7 +60,7 @@
     Task.Phase = Record.phase();
     Task.Run = Record.run();
     Task.Worker = WorkerIncarnation(Record.worker());
-    Task.Failures = Record.failures();
+    Task.Failures = FailedRuns::fromRecord(Record);
     Task.Checkpoint = Record.checkpoint();
     Task.Crashes = CrashHistory::fromRecord(Record.crashes());
     Task.Lost = Record.lost();
@@ -71,10 +71,10 @@
   Completed = Stored.completed();
   Begun = Stored.begun();
   EndedMs = Stored.ended_ms();
-  restoreStops();
+  restoreUnits();
 }
 
-void TaskJob::restoreStops() {
+void TaskJob::restoreUnits() {
   std::size_t Members = 1;
   for (std::size_t First = 0; First < Tasks.size(); First += Members) {
     Members = step(First).gang() ? step(First).count() : 1;
@@ -88,6 +88,9 @@
     for (auto Task = Begin; Task != End; ++Task)
       if (Task->Phase == wire::TASK_PLACED && (Failed || IsBroken))
         Task->StopRequested = true;
+    // The latest run may have been counted once one of its members has ended.
+    if (Begin->Failures.lacksNumbers())
+      Begin->Failures.assumeLatest(IsBroken ? Begin->Run : Begin->Run - 1);
   }
 }
 
@@ -110,7 +113,7 @@
       Record.set_worker(Task.Worker.str());
     Record.set_lost(Task.Lost);
     Record.set_preempted(Task.Preempted);
-    Record.set_failures(Task.Failures);
+    Task.Failures.store(Record);
     if (Task.Phase != wire::TASK_DONE)
       Record.set_checkpoint(Task.Checkpoint);
     if (!Task.Crashes.empty())
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -5,6 +5,7 @@
 #include "baobabcove/Ids.h"
 #include "runtime_model/RunPace.h"
 #include "tasks.pb.h"
+#include "tasks/FailedRuns.h"
 #include "tasks/WorkerIncarnation.h"
 #include "tasks/crashes/CrashAttribution.h"
 
@@ -58,7 +59,8 @@
   /// Whether the incarnation that held the run has ended; the run is being
   /// barred on Worker, which never had it.
   bool Lost = false;
-  std::uint32_t Failures = 0;
+  /// Failed runs of the unit; of a gang, at its first member.
+  FailedRuns Failures;
   std::string Checkpoint;
   /// Whether the scheduler has stopped a long-running task that has not been
   /// at work again since; it counts towards the step's may_miss.
@@ -172,8 +174,9 @@
   std::int64_t Revision = 0;
 
 private:
-  /// Requests the stops that the stored progress implies.
-  void restoreStops();
+  /// Restores what the stored progress implies for each unit: the stops that
+  /// were requested, and the failed run of a record without run numbers.
+  void restoreUnits();
   /// Returns the number of the step that a task belongs to.
   std::uint32_t stepNumber(std::size_t At) const;
 
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -131,21 +131,29 @@
   LOG4CPLUS_INFO(logOf("jobs"), LogFields("job cancelled").add("job", Id));
 }
 
-TaskState *JobTracker::findRun(const std::string &Name, std::uint64_t Run,
-                               const WorkerIncarnation &Incarnation,
-                               TaskRef &At) {
+std::optional<JobTracker::TaskRef>
+JobTracker::findTask(const std::string &Name) {
   const auto Parsed = parseTaskName(Name);
   const auto Job = Parsed ? Jobs.find(Parsed->Job) : Jobs.end();
   if (Job == Jobs.end())
-    return nullptr;
+    return std::nullopt;
   const auto Position = Job->second.position(*Parsed);
   if (!Position)
+    return std::nullopt;
+  return TaskRef{&Job->second, *Position};
+}
+
+TaskState *JobTracker::findRun(const std::string &Name, std::uint64_t Run,
+                               const WorkerIncarnation &Incarnation,
+                               TaskRef &At) {
+  const auto Found = findTask(Name);
+  if (!Found)
     return nullptr;
-  TaskState &Task = Job->second.task(*Position);
+  TaskState &Task = Found->Job->task(Found->Task);
   if (Task.Phase != wire::TASK_PLACED || Task.Run != Run ||
       Task.Worker != Incarnation)
     return nullptr;
-  At = {&Job->second, *Position};
+  At = *Found;
   return &Task;
 }
 
@@ -224,6 +232,8 @@
       applyEnd(End, At, Now);
     else if (End.ending() == wire::RUN_DONE)
       IsHeld = !applyStaleDone(End, Incarnation) || IsHeld;
+    else if (End.ending() == wire::RUN_FAILED)
+      applyStaleFailure(End, Incarnation);
     // An end that may not be acknowledged yet can wait for one that follows it.
     // Ends that are applied again concern runs that are not placed any more.
     if (!IsHeld)
@@ -240,14 +250,11 @@
 
 bool JobTracker::applyStaleDone(const wire::RunEnd &End,
                                 const WorkerIncarnation &Incarnation) {
-  const auto Name = parseTaskName(End.task());
-  const auto Job = Name ? Jobs.find(Name->Job) : Jobs.end();
-  const auto Position =
-      Job == Jobs.end() ? std::nullopt : Job->second.position(*Name);
-  if (!Position || Job->second.task(*Position).Phase == wire::TASK_DONE ||
-      Job->second.step(*Position).long_running())
+  const auto Found = findTask(End.task());
+  if (!Found || Found->Job->task(Found->Task).Phase == wire::TASK_DONE ||
+      Found->Job->step(Found->Task).long_running())
     return true;
-  const TaskRef At{&Job->second, *Position};
+  const TaskRef At = *Found;
   if (!At.Job->task(At.Task).DoneByEarlierRun)
     LOG4CPLUS_WARN(runLog(), LogFields("task completed by an earlier run")
                                  .add("task", End.task())
@@ -264,6 +271,16 @@
   return false;
 }
 
+void JobTracker::applyStaleFailure(const wire::RunEnd &End,
+                                   const WorkerIncarnation &Incarnation) {
+  const auto At = findTask(End.task());
+  if (!At || At->Job->isOver() ||
+      At->Job->task(At->Task).Phase == wire::TASK_DONE)
+    return;
+  recordFailure(*At, End.run(), Incarnation);
+  failIfExhausted(*At);
+}
+
 void JobTracker::applyEnd(const wire::RunEnd &End, TaskRef At,
                           const ClockReading &Now) {
   TaskState &Task = At.Job->task(At.Task);
@@ -290,7 +307,9 @@
     break;
   case wire::RUN_FAILED:
     Quarantine.noteFailure(Node, At.Job->id(), Now.Boot);
-    recordFailure(At, Now);
+    recordFailure(At, End.run(), Task.Worker);
+    requeue(At, Now, Milliseconds(0));
+    failIfExhausted(At);
     break;
   default:
     requeue(At, Now, Milliseconds(0));
@@ -376,27 +395,35 @@
   Dirty.insert(At.Job->id());
 }
 
-void JobTracker::recordFailure(TaskRef At, const ClockReading &Now) {
+void JobTracker::recordFailure(TaskRef At, std::uint64_t Run,
+                               const WorkerIncarnation &Worker) {
   TaskJob &Job = *At.Job;
-  const bool LongRunning = Job.step(At.Task).long_running();
-  // Failures of a gang are counted at its first member.
-  TaskState &FailureCounter = Job.task(Job.firstOfUnit(At.Task));
-  ++FailureCounter.Failures;
+  FailedRuns &Failures = Job.task(Job.firstOfUnit(At.Task)).Failures;
+  const bool IsNew = Failures.record(Run);
+  if (IsNew)
+    Dirty.insert(Job.id());
   LOG4CPLUS_INFO(runLog(), LogFields("attempt failed")
                                .add("task", toText(Job.name(At.Task)))
-                               .add("run", Job.task(At.Task).Run)
-                               .add("worker", Job.task(At.Task).Worker)
-                               .add("failures", FailureCounter.Failures)
-                               .add("max_attempts", Job.spec().max_attempts()));
-  requeue(At, Now, Milliseconds(0));
-  if (LongRunning || Job.task(At.Task).Phase == wire::TASK_DONE ||
-      FailureCounter.Failures < Job.spec().max_attempts() || Job.isOver())
+                               .add("run", Run)
+                               .add("worker", Worker)
+                               .add("failures", Failures.count())
+                               .add("max_attempts", Job.spec().max_attempts())
+                               .add("outcome", IsNew ? "counted" : "known"));
+}
+
+void JobTracker::failIfExhausted(TaskRef At) {
+  TaskJob &Job = *At.Job;
+  const FailedRuns &Failures = Job.task(Job.firstOfUnit(At.Task)).Failures;
+  if (Job.step(At.Task).long_running() || Job.isOver() ||
+      Job.task(At.Task).Phase == wire::TASK_DONE ||
+      Failures.count() < Job.spec().max_attempts())
     return;
   fail(Job);
+  Dirty.insert(Job.id());
   LOG4CPLUS_INFO(logOf("jobs"), LogFields("job failed")
                                     .add("job", Job.id())
                                     .add("task", toText(Job.name(At.Task)))
-                                    .add("failures", FailureCounter.Failures));
+                                    .add("failures", Failures.count()));
 }
 
 void JobTracker::fail(TaskJob &Job) {
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -13,6 +13,7 @@
 #include "tasks/planning/WorkerQuarantine.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -171,6 +172,10 @@
 
   /// Whether \p Expired proves that the run of \p Task cannot run any more.
   bool isEndedBy(const ExpiredLeases &Expired, const TaskState &Task) const;
+  /// Returns the task of that name, or nothing if there is none.
+  std::optional<TaskRef> findTask(const std::string &Name);
+  /// Returns the state of a task if the run is its current one and was placed
+  /// on \p Incarnation, and null otherwise.
   TaskState *findRun(const std::string &Name, std::uint64_t Run,
                      const WorkerIncarnation &Incarnation, TaskRef &At);
   void applyRunning(const wire::TaskReport &Report,
@@ -214,7 +219,15 @@
   bool isUnitPlaced(TaskRef At) const;
   void completeTasks(TaskRef At);
   void requeue(TaskRef At, const ClockReading &Now, Milliseconds Delay);
-  void recordFailure(TaskRef At, const ClockReading &Now);
+  /// Counts the end of \p Run as failed, unless another end of it was counted
+  /// before. \p Worker is logged.
+  void recordFailure(TaskRef At, std::uint64_t Run,
+                     const WorkerIncarnation &Worker);
+  /// Fails the job of \p At if its unit has no attempts left.
+  void failIfExhausted(TaskRef At);
+  /// Counts the end as failed of a run that is not the current one any more.
+  void applyStaleFailure(const wire::RunEnd &End,
+                         const WorkerIncarnation &Incarnation);
   /// Marks a job as failed and stops its runs.
   static void fail(TaskJob &Job);
   void updateCheckpoint(TaskRef At, const std::string &Checkpoint,
--- a/src/tasks/coordination/JobTrackerCrashes.cpp
+++ b/src/tasks/coordination/JobTrackerCrashes.cpp
@@ -256,7 +256,7 @@
     restrictSuspect(Unit, At, Waited);
   // A worker that fails whatever it starts is free again at once, and would get
   // the task until its attempts are used up.
-  else if (Job.task(Job.firstOfUnit(At.Task)).Failures > 0 &&
+  else if (Job.task(Job.firstOfUnit(At.Task)).Failures.count() > 0 &&
            Waited < MaxAvoidance)
     Unit.AvoidedNodes = Quarantine.nodesFailedBy(Job.id());
 }
--- a/tests/tasks/TaskJobTest.cpp
+++ b/tests/tasks/TaskJobTest.cpp
@@ -65,7 +65,7 @@
   Job.task(3).Phase = wire::TASK_PLACED;
   Job.task(3).Run = 4;
   Job.task(3).Worker = WorkerIncarnation("n/w#1");
-  Job.task(3).Failures = 1;
+  CHECK_TRUE(Job.task(3).Failures.record(2));
   Job.task(3).Checkpoint = "half";
   Job.Begun = true;
   TaskJob Restored(Spec);
@@ -73,7 +73,8 @@
   CHECK_TRUE(Restored.Begun);
   LONGS_EQUAL(wire::TASK_DONE, Restored.task(0).Phase);
   LONGS_EQUAL(4, Restored.task(3).Run);
-  LONGS_EQUAL(1, Restored.task(3).Failures);
+  LONGS_EQUAL(1, Restored.task(3).Failures.count());
+  CHECK_FALSE(Restored.task(3).Failures.record(2));
   STRCMP_EQUAL("half", Restored.task(3).Checkpoint.c_str());
   STRCMP_EQUAL("n/w#1", Restored.task(3).Worker.str().c_str());
   LONGS_EQUAL(2, Job.progress().tasks_size());
--- a/tests/tasks/coordination/JobTrackerTest.cpp
+++ b/tests/tasks/coordination/JobTrackerTest.cpp
@@ -157,7 +157,7 @@
   end(Report, "j.0.0.0", 1, wire::RUN_FAILED);
   Tracker.applyReport(Report, Now);
   Tracker.applyReport(Report, Now);
-  LONGS_EQUAL(1, job("j").task(0).Failures);
+  LONGS_EQUAL(1, job("j").task(0).Failures.count());
 }
 
 // Pattern: a start of the newer run is still on its way when the end of the
@@ -229,7 +229,7 @@
     end(Report, "j.0.0.0", ++Run, How);
     Tracker.applyReport(Report, Now);
   }
-  LONGS_EQUAL(0, job("j").task(0).Failures);
+  LONGS_EQUAL(0, job("j").task(0).Failures.count());
   CHECK(JobStatus::Running == job("j").status());
 }
 
