Let a later run at work go on when an earlier run's failure is heard late

What callers would see: a job shown as failed although a run of it was at work and would have completed it. The run's predecessor had failed unseen, its lease was given up, and the late end used up the last attempt: the job was failed at once and the run stopped.

Cause: the count decided alone. BUDGET forbids starts after the last attempt, not that a run that has begun goes on.

Now a unit whose members are all at work goes on; if it ends otherwise than done, the job fails then, whatever ended it (requeue() asks once no member is placed), and nothing is started again. A later run that has not begun is withdrawn. Failures of long-running tasks, which have no limit, are not recorded late.

Red before: LateEndLetsALaterRunAtWorkComplete.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -95,8 +95,9 @@
   if (Found == Jobs.end())
     return;
   IsPlacedIndexStale = true;
-  Found->second.restore(Stored);
-  Found->second.Revision = Revision;
+  TaskJob &Job = Found->second;
+  Job.restore(Stored);
+  Job.Revision = Revision;
 }
 
 void JobTracker::failUnreadable(const JobId &Id, std::int64_t Revision) {
@@ -248,6 +249,15 @@
   });
 }
 
+bool JobTracker::isUnitAtWork(TaskRef At) const {
+  const std::vector<std::size_t> Members = gangMembers(At);
+  return std::all_of(Members.begin(), Members.end(), [&](std::size_t Member) {
+    const TaskState &Task = At.Job->task(Member);
+    return Task.Phase == wire::TASK_PLACED && Task.Listed &&
+           !Task.StopRequested;
+  });
+}
+
 bool JobTracker::applyStaleDone(const wire::RunEnd &End,
                                 const WorkerIncarnation &Incarnation) {
   const auto Found = findTask(End.task());
@@ -274,11 +284,13 @@
 void JobTracker::applyStaleFailure(const wire::RunEnd &End,
                                    const WorkerIncarnation &Incarnation) {
   const auto At = findTask(End.task());
-  if (!At || At->Job->isOver() ||
+  if (!At || At->Job->isOver() || At->Job->step(At->Task).long_running() ||
       At->Job->task(At->Task).Phase == wire::TASK_DONE)
     return;
   recordFailure(*At, End.run(), Incarnation);
-  failIfExhausted(*At);
+  // A later run that has begun may still complete the unit.
+  if (!isUnitAtWork(*At))
+    failIfExhausted(*At);
 }
 
 void JobTracker::applyEnd(const wire::RunEnd &End, TaskRef At,
@@ -388,8 +400,11 @@
   Task.WaitingSince = Now.Boot;
   // The other members of a gang cannot continue without this one.
   stopMembers(At);
-  if (Task.DoneByEarlierRun && !isUnitPlaced(At))
-    completeTasks(At);
+  if (!isUnitPlaced(At)) {
+    if (Task.DoneByEarlierRun)
+      completeTasks(At);
+    failIfExhausted(At);
+  }
   if (Delay.count() > 0)
     RetryNotBefore[toText(At.Job->name(At.Task))] = Now.Boot + Delay;
   Dirty.insert(At.Job->id());
@@ -414,8 +429,9 @@
 void JobTracker::failIfExhausted(TaskRef At) {
   TaskJob &Job = *At.Job;
   const FailedRuns &Failures = Job.task(Job.firstOfUnit(At.Task)).Failures;
+  const TaskState &Task = Job.task(At.Task);
   if (Job.step(At.Task).long_running() || Job.isOver() ||
-      Job.task(At.Task).Phase == wire::TASK_DONE ||
+      Task.Phase == wire::TASK_DONE || Failures.count() == 0 ||
       Failures.count() < Job.spec().max_attempts())
     return;
   fail(Job);
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -217,13 +217,16 @@
                       const WorkerIncarnation &Incarnation);
   /// Whether a member of the unit of \p At is placed.
   bool isUnitPlaced(TaskRef At) const;
+  /// Whether all members of the unit of \p At are listed by their workers and
+  /// none is being stopped.
+  bool isUnitAtWork(TaskRef At) const;
   void completeTasks(TaskRef At);
   void requeue(TaskRef At, const ClockReading &Now, Milliseconds Delay);
   /// Counts the end of \p Run as failed, unless another end of it was counted
   /// before. \p Worker is logged.
   void recordFailure(TaskRef At, std::uint64_t Run,
                      const WorkerIncarnation &Worker);
-  /// Fails the job of \p At if its unit has no attempts left.
+  /// Fails the job of \p At if its unit is not done and has no attempts left.
   void failIfExhausted(TaskRef At);
   /// Counts the end as failed of a run that is not the current one any more.
   void applyStaleFailure(const wire::RunEnd &End,
--- a/tests/tasks/coordination/FailedAttemptsTest.cpp
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -105,6 +105,28 @@
     Tracker.restore(JobId("j"), Stored, 1);
   }
 
+  /// Lets the worker list the current run of a task as running, and reports it.
+  void listRun(std::size_t At) {
+    wire::TaskReport &Report = Workers[nodeOfTask(At)];
+    wire::RunStatus &Status = *Report.add_running();
+    Status.set_task(toText(job().name(At)));
+    Status.set_run(job().task(At).Run);
+    Tracker.applyReport(Report, Now);
+    Report.clear_running();
+  }
+
+  /// Places run 2 of the only task while the end of run 1 as failed, its last
+  /// attempt, is still unknown. Returns the node of run 1.
+  std::string placeSecondRunAfterUnknownFailure() {
+    addWorkers(2);
+    addJob(false, 1, 8, 1);
+    placeRun(1);
+    const std::string First = nodeOfTask(0);
+    Tracker.expireLeases(NodeId(First), Now);
+    placeRun(2);
+    return First;
+  }
+
   void expectFailed(bool IsFailed) {
     Tracker.finishJobs(Now);
     CHECK_EQUAL(IsFailed, job().Failed);
@@ -274,3 +296,42 @@
   expectFailed(false);
   placeRun(2);
 }
+
+// Guards against a job that is shown as failed although a later run is at work
+// and completes it: the end of an earlier run is heard late.
+TEST(FailedAttempts, LateEndLetsALaterRunAtWorkComplete) {
+  const std::string First = placeSecondRunAfterUnknownFailure();
+  listRun(0);
+  listEnd(First, 0, 1, wire::RUN_FAILED);
+  report(First);
+  expectFailed(false);
+  LONGS_EQUAL(0, Tracker.ordersFor(Workers[nodeOfTask(0)]).stops_size());
+  endRun(0, wire::RUN_DONE);
+  expectFailed(false);
+  CHECK(JobStatus::Completed == job().status());
+}
+
+// Guards against a start beyond the attempts after the later run that was let
+// go on ends without completing the task.
+TEST(FailedAttempts, LateEndLetsNoRunFollowTheLaterOne) {
+  const std::string First = placeSecondRunAfterUnknownFailure();
+  listRun(0);
+  listEnd(First, 0, 1, wire::RUN_FAILED);
+  report(First);
+  endRun(0, wire::RUN_STOPPED);
+  expectFailed(true);
+  plan();
+  LONGS_EQUAL(2, job().task(0).Run);
+}
+
+// Guards against a start beyond the attempts that was ordered before the end
+// of an earlier run was heard and has not been carried out yet.
+TEST(FailedAttempts, LateEndWithdrawsALaterRunThatHasNotStarted) {
+  const std::string First = placeSecondRunAfterUnknownFailure();
+  listEnd(First, 0, 1, wire::RUN_FAILED);
+  report(First);
+  expectFailed(true);
+  const wire::TaskOrders Orders = Tracker.ordersFor(Workers[nodeOfTask(0)]);
+  LONGS_EQUAL(0, Orders.starts_size());
+  LONGS_EQUAL(1, Orders.stops_size());
+}
