Ignore the failure of a run that is stopped for an earlier done end

What callers would see: a gang shown as failed although an earlier run of it has ended as done. Its newer run is stopped for that end; if a member fails meanwhile and that is the last attempt, the job was failed while another member was still placed, and a failed job never completes. Found by review; no play showed it.

Red before: FailureOfARunThatIsStoppedForAnEarlierDoneEndIsIgnored.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -431,8 +431,8 @@
   const FailedRuns &Failures = Job.task(Job.firstOfUnit(At.Task)).Failures;
   const TaskState &Task = Job.task(At.Task);
   if (Job.step(At.Task).long_running() || Job.isOver() ||
-      Task.Phase == wire::TASK_DONE || Failures.count() == 0 ||
-      Failures.count() < Job.spec().max_attempts())
+      Task.Phase == wire::TASK_DONE || Task.DoneByEarlierRun ||
+      Failures.count() == 0 || Failures.count() < Job.spec().max_attempts())
     return;
   fail(Job);
   Dirty.insert(Job.id());
--- a/tests/tasks/coordination/FailedAttemptsTest.cpp
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -335,3 +335,22 @@
   LONGS_EQUAL(0, Orders.starts_size());
   LONGS_EQUAL(1, Orders.stops_size());
 }
+
+// Guards against a job that is shown as failed although an earlier run of its
+// gang has ended as done: the newer run is only stopped for that end.
+TEST(FailedAttempts, FailureOfARunThatIsStoppedForAnEarlierDoneEndIsIgnored) {
+  addWorkers(4);
+  addJob(true, 2, 8, 1);
+  placeRun(1);
+  const std::string First = nodeOfTask(0);
+  Tracker.expireLeases(NodeId(First), Now);
+  endRun(1, wire::RUN_BROKEN);
+  placeRun(2);
+  listEnd(First, 0, 1, wire::RUN_DONE);
+  report(First);
+  endRun(0, wire::RUN_FAILED);
+  expectFailed(false);
+  endRun(1, wire::RUN_BROKEN);
+  expectFailed(false);
+  CHECK(JobStatus::Completed == job().status());
+}
