Fail a restored job whose unit has no attempts left

A stored record can hold as many failures as the attempts allow without saying that the job has failed: a later run was at work, or a process of an earlier release wrote it. A new coordinator would start the unit once more (BUDGET).

Red before: ExhaustedTaskOfAStoredJobIsNotStartedAgain.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -98,6 +98,9 @@
   TaskJob &Job = Found->second;
   Job.restore(Stored);
   Job.Revision = Revision;
+  for (std::size_t At = 0; At < Job.size(); ++At)
+    if (Job.task(At).Failures.count() > 0 && !isUnitPlaced({&Job, At}))
+      failIfExhausted({&Job, At});
 }
 
 void JobTracker::failUnreadable(const JobId &Id, std::int64_t Revision) {
--- a/tests/tasks/coordination/FailedAttemptsTest.cpp
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -354,3 +354,18 @@
   expectFailed(false);
   CHECK(JobStatus::Completed == job().status());
 }
+
+// Guards against a start beyond the attempts after a takeover: the stored
+// record holds all failures, but not that the job has failed.
+TEST(FailedAttempts, ExhaustedTaskOfAStoredJobIsNotStartedAgain) {
+  addWorkers(1);
+  addJob(false, 1, 8, 1);
+  placeRun(1);
+  endRun(0, wire::RUN_FAILED);
+  wire::TaskJobProgress Stored = job().progress();
+  Stored.set_failed(false);
+  restoreFrom(Stored);
+  expectFailed(true);
+  plan();
+  LONGS_EQUAL(1, job().task(0).Run);
+}
