Count no run twice after an earlier release has rewritten its record

A process without the field failed_runs drops the numbers when it rewrites a record. The next one took the latest run for the only counted one, so that a late failure of an older, counted run was counted again (LOST during a rolling update).

A record now holds the run up to which failures are not counted any more. It is set when a record without numbers is read, and when a number is dropped. What such a record can't tell is whether the latest run of a broken gang was counted; it is taken as counted.

Red before: RecordWithoutRunNumbersCountsEarlierRunsOnce.

--- a/src/tasks/FailedRuns.cpp
+++ b/src/tasks/FailedRuns.cpp
@@ -14,13 +14,14 @@
 
 bool FailedRuns::record(std::uint64_t Run) {
   const auto At = std::lower_bound(Latest.begin(), Latest.end(), Run);
-  const bool IsBelowAll = At == Latest.begin() && Count > Latest.size();
-  if (IsBelowAll || (At != Latest.end() && *At == Run))
+  if (Run <= IgnoredThrough || (At != Latest.end() && *At == Run))
     return false;
   ++Count;
   Latest.insert(At, Run);
-  if (Latest.size() > MaxNumbers)
+  if (Latest.size() > MaxNumbers) {
+    IgnoredThrough = Latest.front();
     Latest.erase(Latest.begin());
+  }
   return true;
 }
 
@@ -28,6 +29,7 @@
   Record.set_failures(Count);
   for (std::uint64_t Run : Latest)
     Record.add_failed_runs(Run);
+  Record.set_failed_runs_ignored_through(IgnoredThrough);
 }
 
 FailedRuns FailedRuns::fromRecord(const wire::TaskRecord &Record) {
@@ -35,6 +37,7 @@
   Restored.Count = Record.failures();
   Restored.Latest.assign(Record.failed_runs().begin(),
                          Record.failed_runs().end());
+  Restored.IgnoredThrough = Record.failed_runs_ignored_through();
   return Restored;
 }
 
--- a/src/tasks/FailedRuns.h
+++ b/src/tasks/FailedRuns.h
@@ -21,17 +21,19 @@
   /// Whether this was restored from a record without the numbers of its runs,
   /// as releases before the field failed_runs wrote it.
   bool lacksNumbers() const { return Count > 0 && Latest.empty(); }
-  /// Takes \p Run for the newest run of such a record.
-  void assumeLatest(std::uint64_t Run) { Latest = {Run}; }
+  /// Counts no run up to \p Run any more: such a record does not tell which of
+  /// them it contains.
+  void ignoreThrough(std::uint64_t Run) { IgnoredThrough = Run; }
 
   void store(wire::TaskRecord &Record) const;
   static FailedRuns fromRecord(const wire::TaskRecord &Record);
 
 private:
   std::uint32_t Count = 0;
-  /// Numbers of the latest of these runs, ascending. If there were more, all
-  /// runs below the first of them count as recorded.
+  /// Numbers of the latest of these runs, ascending.
   std::vector<std::uint64_t> Latest;
+  /// Runs up to this one are not counted any more.
+  std::uint64_t IgnoredThrough = 0;
 };
 
 } // namespace baobabcove
--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -90,7 +90,7 @@
         Task->StopRequested = true;
     // The latest run may have been counted once one of its members has ended.
     if (Begin->Failures.lacksNumbers())
-      Begin->Failures.assumeLatest(IsBroken ? Begin->Run : Begin->Run - 1);
+      Begin->Failures.ignoreThrough(IsBroken ? Begin->Run : Begin->Run - 1);
   }
 }
 
--- a/tests/tasks/coordination/FailedAttemptsTest.cpp
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -369,3 +369,27 @@
   plan();
   LONGS_EQUAL(1, job().task(0).Run);
 }
+
+// Guards against failures of an earlier run that are counted again after a
+// process of a release without run numbers has rewritten the record.
+TEST(FailedAttempts, RecordWithoutRunNumbersCountsEarlierRunsOnce) {
+  addWorkers(4);
+  addJob(true, 2, 8);
+  placeRun(1);
+  const std::string Second = nodeOfTask(1);
+  endRun(0, wire::RUN_FAILED);
+  Tracker.expireLeases(NodeId(Second), Now);
+  placeRun(2);
+  Tracker.expireLeases(NodeId(nodeOfTask(0)), Now);
+  Tracker.expireLeases(NodeId(nodeOfTask(1)), Now);
+  placeRun(3);
+  wire::TaskJobProgress Stored = job().progress();
+  for (wire::TaskRecord &Record : *Stored.mutable_tasks())
+    Record.clear_failed_runs();
+  restoreFrom(Stored);
+  listEnd(Second, 1, 1, wire::RUN_FAILED);
+  report(Second);
+  expectFailed(false);
+  endRun(0, wire::RUN_FAILED);
+  expectFailed(true);
+}
