Count a failed run of a gang once for the quarantine of a worker

What callers saw: a worker on which a gang failed after another job got no tasks for 5 or 10 s, as if it had kept failing, instead of for 2.5 s.

Cause: WorkerQuarantine::noteFailure doubled the quarantine for each member that ended failed on the worker, although they belong to one run.

Evidence, red before: unit.WorkerQuarantine, CountsARunWhoseMembersFailOnOneWorkerOnce, with the run passed but not compared; unit.FailingWorkers, RunOfAGangThatFailsOnOneWorkerQuarantinesItOnce: the next task isn't placed 2.5 s after the four members of one run failed.

The fix: the record of a worker keeps the latest failed run of each unit of the jobs that failed there. Members of a gang share the run number, and a run of a unit ends before the next one is placed, so that an end with the same number is of the same run. Single tasks count as before.

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -321,7 +321,9 @@
       completeTasks(At);
     break;
   case wire::RUN_FAILED:
-    Quarantine.noteFailure(Node, At.Job->id(), Now.Boot);
+    Quarantine.noteFailure(
+        Node, {At.Job->id(), At.Job->firstOfUnit(At.Task), End.run()},
+        Now.Boot);
     recordFailure(At, End.run(), Task.Worker);
     requeue(At, Now, Milliseconds(0));
     failIfExhausted(At);
--- a/src/tasks/planning/WorkerQuarantine.cpp
+++ b/src/tasks/planning/WorkerQuarantine.cpp
@@ -16,10 +16,13 @@
 
 } // namespace
 
-void WorkerQuarantine::noteFailure(const NodeId &Node, const JobId &Job,
+void WorkerQuarantine::noteFailure(const NodeId &Node, const UnitRun &Failed,
                                    BootInstant Now) {
   Record &Known = Records[Node];
-  Known.FailedJobs.insert(Job);
+  std::uint64_t &LatestRun = Known.FailedJobs[Failed.Job][Failed.Unit];
+  if (LatestRun == Failed.Run)
+    return;
+  LatestRun = Failed.Run;
   if (Known.FailedJobs.size() < FailedJobsThreshold)
     return;
   Known.Until =
--- a/src/tasks/planning/WorkerQuarantine.h
+++ b/src/tasks/planning/WorkerQuarantine.h
@@ -4,8 +4,9 @@
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace baobabcove {
@@ -15,7 +16,17 @@
 /// row is quarantined.
 class WorkerQuarantine {
 public:
-  void noteFailure(const NodeId &Node, const JobId &Job, BootInstant Now);
+  /// A run of a unit: of a single task or of a gang.
+  struct UnitRun {
+    JobId Job;
+    /// The first task of the unit.
+    std::size_t Unit = 0;
+    std::uint64_t Run = 0;
+  };
+
+  /// Notes that a member of \p Failed ended failed on \p Node. A run counts
+  /// once there, however many of its members fail.
+  void noteFailure(const NodeId &Node, const UnitRun &Failed, BootInstant Now);
   void noteSuccess(const NodeId &Node);
   /// Quarantines a worker that refuses tasks or whose runs are stalled.
   void quarantine(const NodeId &Node, BootInstant Now, Milliseconds Duration);
@@ -27,8 +38,9 @@
 
 private:
   struct Record {
-    /// Jobs that failed since the last success.
-    std::set<JobId> FailedJobs;
+    /// Jobs that failed since the last success, with the latest failed run of
+    /// each of their units.
+    std::map<JobId, std::map<std::size_t, std::uint64_t>> FailedJobs;
     int Repeats = 0;
     BootInstant Until{};
   };
