Note the success of a gang on the workers of all its members

What callers saw: a worker got no tasks for 2.5 s as one on which two jobs failed in a row, although a gang had ended done there between them.

Cause: the end of one member completes the whole gang, and noteSuccess was called for the worker of this member only. The ends of the others are not found any more.

Evidence, red before: unit.FailingWorkers, DoneGangIsASuccessOnTheWorkersOfAllItsMembers: a task for the other member's worker is not placed after the second failure.

The fix: the success is noted for all members that are still placed. The members of a gang end done together; one that failed, or whose worker has been replaced, is left out (DoneGangIsNoSuccessWhereAMemberFailed).

--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -313,7 +313,12 @@
     crashesOf(At).clearSuspicion();
   switch (End.ending()) {
   case wire::RUN_DONE:
-    Quarantine.noteSuccess(Node);
+    // The end of one member of a gang represents all. A member that is placed
+    // has not ended in another way.
+    for (std::size_t Member : gangMembers(At))
+      if (const TaskState &Other = At.Job->task(Member);
+          Other.Phase == wire::TASK_PLACED && !Other.Lost)
+        Quarantine.noteSuccess(nodeOf(Other.Worker));
     RunTimes.noteDone(*At.Job, At.Task, Now.Boot);
     if (Step.long_running())
       requeue(At, Now, Milliseconds(0));
--- a/tests/tasks/coordination/FailingWorkersTest.cpp
+++ b/tests/tasks/coordination/FailingWorkersTest.cpp
@@ -114,3 +114,37 @@
   plan(100);
   CHECK_TRUE(isPlaced("next"));
 }
+
+// Guards against a worker that is taken for one on which two jobs failed in a
+// row, because of the gang that ended done between them only another member's
+// worker was heard.
+TEST(FailingWorkers, DoneGangIsASuccessOnTheWorkersOfAllItsMembers) {
+  addWorkers(2);
+  failTask("first", "n1");
+  addGang("gang", 2, 8);
+  plan(0);
+  for (std::size_t At = 0; At < 2; ++At)
+    if (nodeOf(job("gang").task(At).Worker) == NodeId("n0"))
+      endRun("gang", At, wire::RUN_DONE);
+  CHECK(wire::TASK_DONE == job("gang").task(0).Phase);
+  failTask("second", "n1");
+  addTask("next", "n1");
+  plan(0);
+  CHECK_TRUE(isPlaced("next"));
+}
+
+// Guards against a worker that is taken for sound because the gang whose member
+// failed there ended done on another worker.
+TEST(FailingWorkers, DoneGangIsNoSuccessWhereAMemberFailed) {
+  addWorkers(2);
+  failTask("first", "n0");
+  addGang("gang", 2, 8);
+  plan(0);
+  const std::size_t Failed =
+      nodeOf(job("gang").task(0).Worker) == NodeId("n0") ? 0 : 1;
+  endRun("gang", Failed, wire::RUN_FAILED);
+  endRun("gang", 1 - Failed, wire::RUN_DONE);
+  addTask("next", "n0");
+  plan(0);
+  CHECK_FALSE(isPlaced("next"));
+}
