--- a/tests/tasks/coordination/FailedAttemptsTest.cpp
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -121,7 +121,7 @@
     addWorkers(2);
     addJob(false, 1, 8, 1);
     placeRun(1);
-    const std::string First = nodeOfTask(0);
+    std::string First = nodeOfTask(0);
     Tracker.expireLeases(NodeId(First), Now);
     placeRun(2);
     return First;
