Test failed runs: records without numbers, order, steps, ends as done

TaskJob: such records of a single task and of a gang, waiting, broken and placed. FailedAttempts: a gang in a later step, a member that is done after another failed, around a takeover and after the last attempt, and ends that a restarted agent lists again.

--- a/src/tasks/FailedRuns.h
+++ b/src/tasks/FailedRuns.h
@@ -20,7 +20,9 @@
 
   /// Whether this was restored from a record without the numbers of its runs,
   /// as releases before the field failed_runs wrote it.
-  bool lacksNumbers() const { return Count > 0 && Latest.empty(); }
+  bool lacksNumbers() const {
+    return Count > 0 && Latest.empty() && IgnoredThrough == 0;
+  }
   /// Counts no run up to \p Run any more: such a record does not tell which of
   /// them it contains.
   void ignoreThrough(std::uint64_t Run) { IgnoredThrough = Run; }
--- a/tests/tasks/TaskJobTest.cpp
+++ b/tests/tasks/TaskJobTest.cpp
@@ -15,6 +15,21 @@
     Second.set_count(3);
     Second.add_after(0);
   }
+
+  /// Adds what a release before the field failed_runs stored for a task with a
+  /// failed run.
+  static wire::TaskRecord &addOldRecord(
+      wire::TaskJobProgress & Stored, std::uint32_t Index,
+      wire::TaskPhase Phase, std::uint64_t Run) {
+    wire::TaskRecord &Record = *Stored.add_tasks();
+    Record.set_step(1);
+    Record.set_index(Index);
+    Record.set_phase(Phase);
+    Record.set_run(Run);
+    if (Phase == wire::TASK_PLACED)
+      Record.set_worker("n/w#1");
+    return Record;
+  }
 };
 
 TEST(TaskJob, ParsesTheNamesThatItFormats) {
@@ -107,6 +122,71 @@
   CHECK_FALSE(Restored.task(0).StopRequested);
 }
 
+// Guards against a failed run that counts again because the process that stored
+// it knew no numbers of runs and its end is listed again.
+TEST(TaskJob, CountsTheFailedRunOfAWaitingTaskOnceInARecordWithoutNumbers) {
+  wire::TaskJobProgress Stored;
+  addOldRecord(Stored, 0, wire::TASK_WAITING, 3).set_failures(1);
+  TaskJob Restored(Spec);
+  Restored.restore(Stored);
+  FailedRuns &Failures = Restored.task(2).Failures;
+  LONGS_EQUAL(1, Failures.count());
+  CHECK_FALSE(Failures.record(3));
+  CHECK_TRUE(Failures.record(4));
+}
+
+// Guards against a current run that does not count if it fails.
+TEST(TaskJob, CountsTheRunOfAPlacedTaskInARecordWithoutNumbers) {
+  wire::TaskJobProgress Stored;
+  addOldRecord(Stored, 0, wire::TASK_PLACED, 3).set_failures(1);
+  TaskJob Restored(Spec);
+  Restored.restore(Stored);
+  FailedRuns &Failures = Restored.task(2).Failures;
+  CHECK_FALSE(Failures.record(2));
+  CHECK_TRUE(Failures.record(3));
+  LONGS_EQUAL(2, Failures.count());
+}
+
+// Guards against a run of a gang that counts once more because one member's end
+// was stored without its number and another's is heard after the takeover.
+TEST(TaskJob, CountsTheRunOfABrokenGangOnceInARecordWithoutNumbers) {
+  for (const std::uint32_t Ended : {0U, 1U, 2U}) {
+    Spec->mutable_steps(1)->set_gang(true);
+    wire::TaskJobProgress Stored;
+    for (std::uint32_t Index = 0; Index < 3; ++Index) {
+      wire::TaskRecord &Record = addOldRecord(
+          Stored, Index,
+          Index == Ended ? wire::TASK_WAITING : wire::TASK_PLACED, 3);
+      // A gang's failures are counted at its first member.
+      Record.set_failures(Index == 0 ? 1 : 0);
+    }
+    TaskJob Restored(Spec);
+    Restored.restore(Stored);
+    for (std::uint32_t Index = 0; Index < 3; ++Index)
+      CHECK_EQUAL(Index != Ended, Restored.task(2 + Index).StopRequested);
+    FailedRuns &Failures = Restored.task(2).Failures;
+    CHECK_FALSE(Failures.record(3));
+    CHECK_TRUE(Failures.record(4));
+  }
+}
+
+// Guards against a run of a gang that does not count if it fails although all
+// its members were placed when the record was written.
+TEST(TaskJob, CountsTheRunOfAPlacedGangInARecordWithoutNumbers) {
+  Spec->mutable_steps(1)->set_gang(true);
+  wire::TaskJobProgress Stored;
+  for (std::uint32_t Index = 0; Index < 3; ++Index)
+    addOldRecord(Stored, Index, wire::TASK_PLACED, 3)
+        .set_failures(Index == 0 ? 2 : 0);
+  TaskJob Restored(Spec);
+  Restored.restore(Stored);
+  FailedRuns &Failures = Restored.task(2).Failures;
+  CHECK_FALSE(Failures.record(2));
+  CHECK_TRUE(Failures.record(3));
+  CHECK_FALSE(Failures.record(3));
+  LONGS_EQUAL(3, Failures.count());
+}
+
 TEST(TaskJob, ReportsAJobCompletedBeforeItsCancellationAsCompleted) {
   TaskJob Job(Spec);
   Job.Cancelled = true;
--- a/tests/tasks/coordination/FailedAttemptsTest.cpp
+++ b/tests/tasks/coordination/FailedAttemptsTest.cpp
@@ -393,3 +393,78 @@
   endRun(0, wire::RUN_FAILED);
   expectFailed(true);
 }
+
+// Guards against a step that is failed by the attempts of an earlier one.
+TEST(FailedAttempts, StepsOfAJobCountSeparately) {
+  addWorkers(2);
+  addJob(true, 2, 8);
+  Tracker.clear();
+  *Spec->add_steps() = Spec->steps(0);
+  Spec->mutable_steps(1)->add_after(0);
+  Tracker.addJob(Spec);
+  placeRun(1);
+  endRun(0, wire::RUN_FAILED);
+  endRun(1, wire::RUN_FAILED);
+  placeRun(2);
+  endRun(0, wire::RUN_DONE);
+  plan();
+  LONGS_EQUAL(1, job().task(2).Run);
+  endRun(3, wire::RUN_FAILED);
+  endRun(2, wire::RUN_FAILED);
+  expectFailed(false);
+  plan();
+  LONGS_EQUAL(2, job().task(2).Run);
+  endRun(3, wire::RUN_FAILED);
+  expectFailed(true);
+}
+
+// Guards against a gang that is started again after one member has ended
+// done, which represents all of them, whatever else was heard of its run.
+TEST(FailedAttempts, GangIsDoneIfOneMemberIsDoneAfterAnotherFailed) {
+  for (const bool TakesOver : {false, true}) {
+    Tracker.clear();
+    Workers.clear();
+    LastEnd.clear();
+    addWorkers(2);
+    addJob(true, 2, 8);
+    placeRun(1);
+    endRun(0, wire::RUN_FAILED);
+    if (TakesOver)
+      takeOver();
+    endRun(1, wire::RUN_DONE);
+    expectFailed(false);
+    CHECK(JobStatus::Completed == job().status());
+  }
+}
+
+// Guards against a job that was shown as failed, and is then shown otherwise,
+// because of an end that is heard later.
+TEST(FailedAttempts, FailedJobStaysFailedAfterALaterEndAsDone) {
+  addWorkers(2);
+  addJob(true, 2, 8, 1);
+  placeRun(1);
+  endRun(0, wire::RUN_FAILED);
+  expectFailed(true);
+  endRun(1, wire::RUN_DONE);
+  expectFailed(true);
+  CHECK(JobStatus::Failed == job().status());
+}
+
+// Guards against an end that counts twice because the agent was started again
+// and lists it once more after the next start.
+TEST(FailedAttempts, EndThatARestartedAgentListsAgainCountsOnce) {
+  addWorkers(2);
+  addJob(true, 2, 8);
+  placeRun(1);
+  endRun(0, wire::RUN_FAILED);
+  endRun(1, wire::RUN_FAILED);
+  for (const std::string Node : {"n0", "n1"}) {
+    Workers[Node].set_agent_life(2);
+    report(Node);
+  }
+  takeOver();
+  placeRun(2);
+  for (const std::string Node : {"n0", "n1"})
+    report(Node);
+  expectFailed(false);
+}
