Test that an attempt ends once, whoever reports its end

The coordinator numbers the attempts of its own jobs: a gang that has ended takes no more reports, and a record whose attempt has ended takes no second end, also from a coordinator that takes over.

--- a/tests/coordinator/GangTrackerTest.cpp
+++ b/tests/coordinator/GangTrackerTest.cpp
@@ -149,3 +149,16 @@
   Heartbeat.mutable_worker()->add_parts()->set_job("stray");
   LONGS_EQUAL(1, Tracker.strayParts(Heartbeat).size());
 }
+
+// Guards against an attempt that ends once for each member that failed.
+TEST(GangTracker, EndsAnAttemptOnceWhenSeveralMembersFail) {
+  TrackedGang &Gang = gang(2);
+  report(Gang, 0, wire::RUNNING);
+  report(Gang, 1, wire::RUNNING);
+  CHECK_TRUE(GangTransition::Broken == report(Gang, 0, wire::FAILED));
+  LONGS_EQUAL(1, Tracker.gangsOn("n1").size());
+  CHECK_TRUE(GangTransition::Ended == report(Gang, 1, wire::FAILED));
+  // Reports change only the gangs that have not ended.
+  LONGS_EQUAL(0, Tracker.gangsOn("n0").size());
+  LONGS_EQUAL(0, Tracker.gangsOn("n1").size());
+}
--- a/tests/coordinator/JobStateMachineTest.cpp
+++ b/tests/coordinator/JobStateMachineTest.cpp
@@ -45,3 +45,13 @@
   CHECK_TRUE(States.applyGangEnd(Record, Lost));
   LONGS_EQUAL(wire::QUEUED, Record.state());
 }
+
+// Guards against an attempt that ends twice, because the coordinator that takes
+// over after its end was stored hears of it again.
+TEST(JobStateMachine, AppliesTheEndOfAnAttemptOnce) {
+  Record.mutable_spec()->set_idempotent(true);
+  CHECK_TRUE(States.applyGangEnd(Record, Lost));
+  const std::string Stored = Record.SerializeAsString();
+  CHECK_FALSE(States.applyGangEnd(Record, Lost));
+  STRCMP_EQUAL(Stored.c_str(), Record.SerializeAsString().c_str());
+}
