Wait for ends that a full listing has no room for before barring a run

What callers may see: a task that starts again after a run of it ended done, on a worker with more than 500 ends that aren't acknowledged. That is by reading; the tests show the agent's report that leads to it.

Cause: a worker lists 500 ends at a time. A run that has ended, whose stop was answered and that is neither running nor among these ends was reported as barred, as if it had never started; its end followed in the next listing.

Evidence, red before: unit.TaskAgent, BarsNoRunWhoseEndMayFollowInTheNextListing (a refusal is reported beside the 500 ends), and unit.RunOrderTracker, BarsByAListingThatMayLackEndsOnlyAfterAWhile.

The fix: a full listing proves nothing about a run for 5 s from its stop. The next acknowledgement makes room, and the end is listed. The limit is needed: the coordinator holds back the acknowledgement of an end as done of an earlier run until the newer run is gone, which may be the one to bar.

--- a/src/tasks/agent/RunOrderTracker.cpp
+++ b/src/tasks/agent/RunOrderTracker.cpp
@@ -6,6 +6,10 @@
 
 /// An unanswered or refused stop is sent again after this delay.
 constexpr Milliseconds StopRetryDelay{150};
+/// After this time, a listing that has no room for all ends is taken for
+/// complete: the coordinator may hold back the acknowledgement that makes room
+/// until the run is barred.
+constexpr Milliseconds MaxWaitForEnds{5000};
 
 } // namespace
 
@@ -119,11 +123,12 @@
 }
 
 bool RunOrderTracker::applyListing(const std::set<RunId> &Known,
-                                   BootInstant RequestedAt) {
+                                   BootInstant RequestedAt, bool MayLackEnds) {
   bool Changed = false;
   for (auto &[Run, Order] : Runs) {
     if (Order.State != OrderState::Stopped || RequestedAt < Order.LastStopAt ||
-        Known.count(Run))
+        Known.count(Run) ||
+        (MayLackEnds && RequestedAt - Order.LastStopAt < MaxWaitForEnds))
       continue;
     Order.State = OrderState::NeverStarted;
     Order.Reason = wire::REFUSED_BARRED;
--- a/src/tasks/agent/RunOrderTracker.h
+++ b/src/tasks/agent/RunOrderTracker.h
@@ -56,8 +56,11 @@
 
   /// Applies a listing that was requested at \p RequestedAt. A run whose stop
   /// was acknowledged before then and that is not listed can never start.
-  /// Returns whether any run got into that state.
-  bool applyListing(const std::set<RunId> &Known, BootInstant RequestedAt);
+  /// If the listing \p MayLackEnds, this is not concluded before a while has
+  /// passed in which they can be listed. Returns whether any run got into that
+  /// state.
+  bool applyListing(const std::set<RunId> &Known, BootInstant RequestedAt,
+                    bool MayLackEnds = false);
 
   /// Whether a queued start of \p Run is still wanted: it has no result yet and
   /// no stop was ordered.
--- a/src/tasks/agent/TaskAgent.cpp
+++ b/src/tasks/agent/TaskAgent.cpp
@@ -428,7 +428,8 @@
   }
   // What an overtaken listing says about orders that the worker answered before
   // it still holds.
-  HasNews = RunOrders.applyListing(Known, RequestedAt) || HasNews;
+  const bool MayLackEnds = Listing.Ends.size() >= MaxListedEnds;
+  HasNews = RunOrders.applyListing(Known, RequestedAt, MayLackEnds) || HasNews;
   std::set<RunId> Sent = Late.reaching(Worker->Id, Now);
   Sent.insert(StartsSent.begin(), StartsSent.end());
   // An earlier agent may have sent these.
--- a/src/tasks/agent/WorkerLink.h
+++ b/src/tasks/agent/WorkerLink.h
@@ -9,6 +9,7 @@
 #include "baobabcove/ResultCode.h"
 #include "tasks.pb.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -39,6 +40,9 @@
   RackName Rack;
 };
 
+/// A worker lists this many ends at a time, the earliest first.
+constexpr std::size_t MaxListedEnds = 500;
+
 /// Runs of a worker, and the ends that have not been acknowledged.
 struct WorkerRuns {
   std::int64_t StartedAtMs = 0;
--- a/tests/tasks/agent/RunOrderTrackerTest.cpp
+++ b/tests/tasks/agent/RunOrderTrackerTest.cpp
@@ -111,3 +111,15 @@
   RunOrders.voidStarts();
   CHECK_TRUE(RunOrders.update(Repeated, at(1003)).front().second);
 }
+
+// Guards against a run that is given up because the listing has no room for its
+// end, and against one that is never given up because listings stay full.
+TEST(RunOrderTracker, BarsByAListingThatMayLackEndsOnlyAfterAWhile) {
+  RunOrders.update(start(), at(1000));
+  RunOrders.markUnknown(Run);
+  RunOrders.markStopped(Run, at(1500));
+  CHECK_FALSE(RunOrders.applyListing({}, at(6400), true));
+  LONGS_EQUAL(0, RunOrders.refusals().size());
+  CHECK_TRUE(RunOrders.applyListing({}, at(6500), true));
+  LONGS_EQUAL(1, RunOrders.refusals().size());
+}
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -132,7 +132,10 @@
       Status.set_run(Run);
       Runs.Running.push_back(Status);
     }
-    Runs.Ends = Worker.Ends;
+    for (const wire::RunEnd &End : Worker.Ends)
+      if (End.number() > Worker.Acknowledged &&
+          Runs.Ends.size() < MaxListedEnds)
+        Runs.Ends.push_back(End);
     return Runs;
   }
   bool isListening() override {
@@ -1070,3 +1073,37 @@
   Agent->onHeartbeat(heartbeat(7, 1));
   CHECK_TRUE(waitUntil([&] { return last().worker() == "n1/i-1#7"; }));
 }
+
+// Guards against a run that is given up as never started, and whose task starts
+// again, although its end follows in the next listing: a worker lists 500 ends
+// at a time.
+TEST(TaskAgent, BarsNoRunWhoseEndMayFollowInTheNextListing) {
+  order(1);
+  CHECK_TRUE(waitUntil([&] { return last().running_size() == 1; }));
+  {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    for (int Other = 0; Other < 500; ++Other) {
+      const std::string Task = "k.0.0." + std::to_string(Other);
+      Worker.Running[Task] = 1;
+    }
+  }
+  for (int Other = 0; Other < 500; ++Other)
+    Worker.end("k.0.0." + std::to_string(Other), wire::RUN_DONE);
+  Worker.end("j.0.0.0", wire::RUN_DONE);
+  CHECK_TRUE(waitUntil([&] { return last().ends_size() == 500; }));
+  withdraw(2);
+  CHECK_TRUE(waitUntil([&] {
+    const std::lock_guard<std::mutex> Lock(Worker.Mutex);
+    return Worker.Barred.count({"j.0.0.0", 1}) > 0;
+  }));
+  awaitReports();
+  LONGS_EQUAL(0, last().refusals_size());
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    Orders.set_revision(3);
+    Orders.set_acknowledged_end(500);
+  }
+  CHECK_TRUE(waitUntil([&] { return last().ends_size() == 1; }));
+  STRCMP_EQUAL("j.0.0.0", last().ends(0).task().c_str());
+  LONGS_EQUAL(0, last().refusals_size());
+}
