Model gangs whose members fail together and jobs with few attempts

A job may fail only if a unit had max_attempts different failed runs, and no run may start once so many of them were acknowledged.

--- a/tests/tasks/coordination/TaskModelTest.cpp
+++ b/tests/tasks/coordination/TaskModelTest.cpp
@@ -4,7 +4,9 @@
 // task may run twice at once, nor start again after its end was acknowledged. A
 // deadly task must not start three times more after three workers have crashed
 // under it; any other job may fail only if two have crashed under one of its
-// tasks. Leases, the store and the network are in TaskModelLeaseTest.cpp.
+// tasks, or if max_attempts different runs of a task or of a gang have ended
+// failed, after which no run of it may start. Leases, the store and the network
+// are in TaskModelLeaseTest.cpp.
 
 #include "tasks/agent/RunOrderTracker.h"
 #include "tasks/coordination/JobTracker.h"
@@ -105,10 +107,18 @@
   std::deque<std::pair<bool, RunId>> ToSend;
 };
 
+/// What the jobs of a model are like.
+struct ModelJobs {
+  std::uint32_t MaxAttempts = 100;
+  /// Whether the tasks of every second job are a gang.
+  bool HaveGangs = false;
+};
+
 class Model {
 public:
-  explicit Model(unsigned Seed, std::set<std::string> Deadly = {})
-      : Random(Seed), Deadly(std::move(Deadly)) {
+  explicit Model(unsigned Seed, std::set<std::string> Deadly = {},
+                 ModelJobs Kind = {})
+      : Random(Seed), Deadly(std::move(Deadly)), Kind(Kind) {
     for (int N = 0; N < 3; ++N) {
       Workers.emplace_back();
       Workers.back().Node = "n" + std::to_string(N);
@@ -119,10 +129,13 @@
       Spec->set_id("job" + std::to_string(J));
       Spec->set_queue("q");
       Spec->set_service("s");
-      Spec->set_max_attempts(100);
+      Spec->set_max_attempts(Kind.MaxAttempts);
       wire::StepSpec &Step = *Spec->add_steps();
       Step.set_count(3);
-      Step.set_accelerators(1);
+      const bool IsGang = Kind.HaveGangs && J % 2 == 1;
+      Step.set_gang(IsGang);
+      // Some members of a gang share a worker, others don't.
+      Step.set_accelerators(IsGang ? 4 : 1);
       Specs.push_back(Spec);
     }
     takeOver();
@@ -141,7 +154,7 @@
       step();
       bool Done = true;
       for (const auto &[Id, Job] : Tracker.jobs())
-        Done = Done && ((Job.Failed && !Deadly.empty()) || Job.areAllDone());
+        Done = Done && ((Job.Failed && mayFail(Id)) || Job.areAllDone());
       if (Done)
         return true;
     }
@@ -215,6 +228,25 @@
         });
   }
 
+  bool mayFail(const JobId &Id) const {
+    return hasDeadlyTask(Id) || hasCrashedTwoWorkers(Id) ||
+           hasNoAttemptsLeft(Id);
+  }
+
+  /// Whether max_attempts runs of a unit of the job have ended failed.
+  bool hasNoAttemptsLeft(const JobId &Id) const {
+    return std::any_of(FailedRunsOf.begin(), FailedRunsOf.end(),
+                       [&](const auto &Known) {
+                         return Known.second.size() >= Kind.MaxAttempts &&
+                                Known.first.rfind(Id.str() + ".", 0) == 0;
+                       });
+  }
+
+  /// Returns the first task of the gang of a task, or the task itself.
+  std::string unitOf(const std::string &Task) const {
+    return sizeOfUnit(Task) == 1 ? Task : stepKey(*parseTaskName(Task)) + ".0";
+  }
+
   void crashUnderDeadlyTasks() {
     for (ModelWorker &Worker : Workers)
       if (!Worker.CrashingUnder.empty())
@@ -336,8 +368,12 @@
   void acknowledge(std::size_t N, std::uint64_t Through) {
     auto &Ends = Workers[N].Ends;
     while (!Ends.empty() && Ends.front().number() <= Through) {
+      const std::string Unit = unitOf(Ends.front().task());
+      // One end of a gang represents all.
       if (Ends.front().ending() == wire::RUN_DONE)
-        Done.insert(Ends.front().task());
+        Done.insert(Unit);
+      if (Ends.front().ending() == wire::RUN_FAILED)
+        AcknowledgedFailures[Unit].insert(Ends.front().run());
       Ends.erase(Ends.begin());
     }
   }
@@ -403,8 +439,12 @@
   bool startRun(ModelWorker &Worker, const RunId &Run) {
     const bool WasRunning = Worker.Running.count(Run.first) > 0;
     const bool Started = Worker.start(Run);
-    if (Started && !WasRunning && Done.count(Run.first))
+    const std::string Unit = unitOf(Run.first);
+    if (Started && !WasRunning && Done.count(Unit))
       Violation = Run.first + " starts after its end was acknowledged";
+    if (Started && !WasRunning &&
+        AcknowledgedFailures[Unit].size() >= Kind.MaxAttempts)
+      Violation = Run.first + " starts without attempts left";
     if (Started && !WasRunning && Deadly.count(Run.first)) {
       Worker.CrashingUnder = Run.first;
       if (CrashesUnder[Run.first] >= 3 && ++LaterStarts[Run.first] >= 3)
@@ -431,9 +471,53 @@
       return;
     auto Task = Worker.Running.begin();
     std::advance(Task, static_cast<long>(pick(Worker.Running.size())));
-    const std::string Name = Task->first;
-    Worker.end(Name, !FaultsDisabled && chance(20) ? wire::RUN_FAILED
-                                                   : wire::RUN_DONE);
+    const RunId Run = *Task;
+    const bool Fails = !FaultsDisabled && chance(20);
+    const std::vector<RunOnWorker> Members = membersOf(Run);
+    // A gang without all its members never works. Each waits for the others for
+    // a while.
+    if (Members.size() < sizeOfUnit(Run.first)) {
+      if (chance(10))
+        end(Worker, Run, wire::RUN_BROKEN);
+      return;
+    }
+    end(Worker, Run, Fails ? wire::RUN_FAILED : wire::RUN_DONE);
+    for (const auto &[Other, Member] : Members) {
+      if (Member == Run)
+        continue;
+      if (!Fails)
+        end(*Other, Member, wire::RUN_DONE);
+      // It fails together with the others, or hears of their end later.
+      else if (chance(60))
+        end(*Other, Member, wire::RUN_FAILED);
+    }
+  }
+
+  using RunOnWorker = std::pair<ModelWorker *, RunId>;
+
+  /// Returns the members of a run that are on workers.
+  std::vector<RunOnWorker> membersOf(const RunId &Run) {
+    std::vector<RunOnWorker> Members;
+    for (ModelWorker &Worker : Workers)
+      for (const auto &Other : Worker.Running)
+        if (Other.second == Run.second &&
+            unitOf(Other.first) == unitOf(Run.first))
+          Members.emplace_back(&Worker, Other);
+    return Members;
+  }
+
+  std::size_t sizeOfUnit(const std::string &Task) const {
+    const TaskName Name = *parseTaskName(Task);
+    const wire::StepSpec &Step =
+        std::as_const(Tracker).jobs().at(Name.Job).spec().steps(
+            static_cast<int>(Name.Step));
+    return Step.gang() ? Step.count() : 1;
+  }
+
+  void end(ModelWorker &Worker, const RunId &Run, wire::RunEnding How) {
+    if (How == wire::RUN_FAILED)
+      FailedRunsOf[unitOf(Run.first)].insert(Run.second);
+    Worker.end(Run.first, How);
   }
 
   void checkInvariants() {
@@ -443,13 +527,18 @@
         if (++Count[Task] > 1)
           Violation = Task + " runs twice";
     for (const auto &[Id, Job] : std::as_const(Tracker).jobs())
-      if (Job.Failed && !hasDeadlyTask(Id) && !hasCrashedTwoWorkers(Id))
+      if (Job.Failed && !mayFail(Id))
         Violation = Id.str() + " fails without cause";
   }
 
   std::mt19937 Random;
   /// Tasks that crash the worker that starts them.
   std::set<std::string> Deadly;
+  const ModelJobs Kind;
+  /// Runs of which a member ended failed, by unit.
+  std::map<std::string, std::set<std::uint64_t>> FailedRunsOf;
+  /// Those among them of which such an end was acknowledged.
+  std::map<std::string, std::set<std::uint64_t>> AcknowledgedFailures;
   /// Number of crashes of workers while they ran the task.
   std::map<std::string, int> CrashesUnder;
   /// Starts of deadly tasks after three crashes.
@@ -461,6 +550,7 @@
   JobTracker Tracker;
   std::map<JobId, wire::TaskJobProgress> Stored;
   std::map<std::string, wire::TaskOrders> Published;
+  /// Units of which an end as done was acknowledged.
   std::set<std::string> Done;
   std::string Violation;
   bool FaultsDisabled = false;
@@ -511,3 +601,28 @@
       FAIL(("seed " + std::to_string(Seed) + ": unfinished jobs").c_str());
   }
 }
+
+// Pattern: members of one run of a gang fail together, and coordinators take
+// over between their ends. Guards against a job that is shown as failed with
+// attempts left, and against a start without any.
+TEST(TaskModel, FailsJobsAndGangsOnlyAfterTheirLastAttempt) {
+  for (unsigned Seed = 1; Seed <= 300; ++Seed) {
+    Model Cell(Seed, {}, {3, true});
+    const std::string Violation = Cell.run(600);
+    if (!Violation.empty())
+      FAIL(("seed " + std::to_string(Seed) + ": " + Violation).c_str());
+  }
+}
+
+// Guards against a gang that neither ends nor starts again after ends of one
+// run that were heard at different times.
+TEST(TaskModel, EndsEveryGangOnceFaultsStop) {
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    Model Cell(Seed, {}, {3, true});
+    const std::string Violation = Cell.run(300);
+    if (!Violation.empty())
+      FAIL(("seed " + std::to_string(Seed) + ": " + Violation).c_str());
+    if (!Cell.allDone())
+      FAIL(("seed " + std::to_string(Seed) + ": unfinished jobs").c_str());
+  }
+}
