Test failed runs of gangs with real processes

Why these tests: unit.FailedAttempts judges the tracker alone. WorkerFleet tells which runs of a job were started.

--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -274,6 +274,14 @@
   return Known == Starts.end() ? 0 : Known->second;
 }
 
+std::map<std::uint64_t, std::size_t>
+WorkerFleet::runsOf(const std::string &Id) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Known = StartedRuns.find(Id);
+  return Known == StartedRuns.end() ? std::map<std::uint64_t, std::size_t>()
+                                    : Known->second;
+}
+
 void WorkerFleet::noteAccepted(const std::string &Id, const FleetJob &Job) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   Jobs[Id].Job = Job;
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -120,6 +120,8 @@
   std::size_t workerOf(const std::string &Task) const;
   /// Number of times that a task was started.
   std::size_t startsOf(const std::string &Task) const;
+  /// Returns how many tasks of each run of the job \p Id were started.
+  std::map<std::uint64_t, std::size_t> runsOf(const std::string &Id) const;
 
   /// Tells that a job was accepted, from which time it must not wait in vain.
   void noteAccepted(const std::string &Id, const FleetJob &Job);
@@ -266,6 +268,8 @@
   std::vector<std::unique_ptr<Worker>> Workers;
   std::map<std::string, Accepted> Jobs;
   std::map<std::string, std::size_t> Starts;
+  /// Number of started tasks, by job and run.
+  std::map<std::string, std::map<std::uint64_t, std::size_t>> StartedRuns;
   std::deque<BrokenGang> BrokenGangs;
   RunJudge Judge;
   Dice LateDice;
--- a/tests/support/WorkerFleetCalls.cpp
+++ b/tests/support/WorkerFleetCalls.cpp
@@ -149,6 +149,7 @@
     return Refuse("room");
   At.Running[Task] = Next;
   ++Starts[Task];
+  ++StartedRuns[Task.substr(0, Task.find('.'))][Number];
   ++StartCount;
   Judge.noteStart({Task, Number, At.Ip, Next.GangSize > 1, IsLate});
   checkRuns();
