Test that one run of a gang counts one crash around a takeover

The workers of two members crash in one run, and the next coordinator hears of the second. Green at once: the run of the latest crash is stored.

--- a/tests/tasks/coordination/JobTrackerCrashTest.cpp
+++ b/tests/tasks/coordination/JobTrackerCrashTest.cpp
@@ -250,6 +250,18 @@
                                  }));
   }
 
+  /// Starts the gang "gang", whose two members need a worker each.
+  void startAGangOnTwoWorkers() {
+    addWorkers(3);
+    wire::StepSpec &Step = *addJob("gang", 2).mutable_steps(0);
+    Step.set_gang(true);
+    Step.set_accelerators(8);
+    Duration = 1000;
+    rounds(10);
+    CHECK_TRUE(workerOf("gang.0.0.0") != nullptr);
+    CHECK_TRUE(workerOf("gang.0.0.1") != workerOf("gang.0.0.0"));
+  }
+
   void checkGivenUp(const std::string &Id, const std::string &Task) {
     CHECK_TRUE(isFailed(Id));
     CHECK_TRUE(job(Id).EndedMs != 0);
@@ -545,3 +557,20 @@
   checkGivenUp("unsafe", "unsafe.0.0.0");
   CHECK_TRUE(isCompleted("good"));
 }
+
+// Guards against a gang that counts as two crashes because the workers of two
+// members crashed in one run and a takeover lies between the reports.
+TEST(JobTrackerCrash, CountsOneRunOfAGangOnceAroundATakeover) {
+  startAGangOnTwoWorkers();
+  CellWorker &Second = *workerOf("gang.0.0.1");
+  CellWorker &First = *workerOf("gang.0.0.0");
+  First.restart();
+  Tracker.applyReport(First.report(), Now);
+  LONGS_EQUAL(1, job("gang").task(0).Crashes.crashes());
+  Stored[JobId("gang")] = job("gang").progress();
+  takeOver();
+  Second.restart();
+  applyReports();
+  CHECK_TRUE(job("gang").task(1).Lost);
+  LONGS_EQUAL(1, job("gang").task(0).Crashes.crashes());
+}
