Judge BUDGET and LOST in the soak of the task daemons

The soak asked for the states of completed jobs alone, and all its jobs had 20 attempts. So it could see neither a job that is shown as failed although it has attempts left, nor a task that gets more runs than its queue allows.

AttemptJudge judges both from what workers and callers see. BUDGET: a start after max_attempts distinct runs of the task ended failed, by the ends that acked_through reached without a lapse of the lease between; the rule has no time bound, so starts that a worker carried out late count. LOST: a job is shown as failed before any of its tasks or gangs had that many failed runs. Jobs that are given up after crashes of three workers are judged as before: they aren't completed, and nothing of them runs.

A share of the jobs goes through two queues with two and three attempts. A job that fails with cause counts as ended; all other checks stay as they are. Gangs of two to four small tasks are added, which one worker can hold.

--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -1,12 +1,14 @@
 // A soak of the task daemons: entries and agents as real processes, jobs of
-// single tasks and of gangs in one rack, and overlapping random faults of
-// processes, store, workers and messages about workers. The same seed selects
-// the same series of faults.
+// single tasks and of gangs, some with few attempts, and overlapping random
+// faults of processes, store, workers and messages about workers. The same seed
+// selects the same series of faults.
 
 #include "TaskFaults.h"
 
 #include <cinttypes>
 #include <cstdio>
+#include <iterator>
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -52,6 +54,22 @@
     Job.InOneRack = Job.IsGang && Random.oneIn(2);
     // Some gangs have more tasks than one rack holds.
     Job.Tasks = 1 + Random.below(2 * WorkerFleet::WorkersPerRack + 1);
+    if (Random.oneIn(6))
+      Job.MaxAttempts = anyFewAttempts();
+    return Job;
+  }
+
+  /// Returns a gang that a single worker can hold.
+  FleetJob smallGang() {
+    FleetJob Job;
+    Job.WorkMs = Job.EstimateMs = 1000 + Random.upTo(2500);
+    Job.Accelerators = 1;
+    Job.MemoryMb = 11000;
+    Job.IsGang = true;
+    Job.InOneRack = Random.oneIn(2);
+    Job.Tasks = 2 + Random.below(3);
+    if (Random.oneIn(2))
+      Job.MaxAttempts = anyFewAttempts();
     return Job;
   }
 
@@ -63,13 +81,17 @@
     const std::uint64_t Number = FirstJob + ++Submitted;
     std::snprintf(Id, sizeof(Id), "%016" PRIx64, Number);
     const std::string Body = Job.body();
+    const std::string Queue =
+        queuePrefix(Job.MaxAttempts == MaxTaskAttempts ? 0 : Job.MaxAttempts);
+    System.Fleet->allowAttempts(Id, std::size_t(Job.MaxAttempts));
     for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
       const auto Answer = Clients[Random.below(Clients.size())]->call(
-          jobCall("POST", Id, Body));
+          jobCall("POST", Id, Body, Queue));
       if (!Answer || Answer->Status != 200)
         continue;
       System.Fleet->noteAccepted(Id, Job);
       Accepted.push_back(Id);
+      Queues[Id] = Queue;
       return true;
     }
     return false;
@@ -77,13 +99,9 @@
 
   /// Returns the state of a job by the first entry that tells it.
   std::string stateOf(const std::string &Id) {
-    for (const auto &Client : Clients) {
-      const auto Answer = Client->call(jobCall("GET", Id));
-      if (!Answer || Answer->Status != 200)
-        continue;
-      const std::size_t From = Answer->Body.find(":\"") + 2;
-      return Answer->Body.substr(From, Answer->Body.find('"', From) - From);
-    }
+    for (const auto &Client : Clients)
+      if (std::string State = stateOf(*Client, Id); !State.empty())
+        return State;
     return "unknown";
   }
 
@@ -93,21 +111,45 @@
     if (Accepted.empty())
       return;
     const std::string &Id = Accepted[Random.below(Accepted.size())];
-    const auto Answer =
-        Clients[Random.below(Clients.size())]->call(jobCall("GET", Id));
-    if (Answer && Answer->Status == 200 &&
-        Answer->Body.find("\"completed\"") != std::string::npos &&
+    if (stateOf(*Clients[Random.below(Clients.size())], Id) == "completed" &&
         !System.Fleet->isDone(Id))
       ShownTooEarly += Id + " is shown as completed before its end\n";
   }
 
+  /// Asks any entry for the states of the jobs that may have failed by now.
+  void checkFailures() {
+    HttpClient &Client = *Clients[Random.below(Clients.size())];
+    for (const std::string &Id : Accepted)
+      if (System.Fleet->mayHaveFailed(Id) && !System.Fleet->hasFailed(Id) &&
+          !System.Fleet->isDone(Id) && stateOf(Client, Id).empty())
+        return;
+  }
+
   std::vector<std::string> Accepted;
   std::string ShownTooEarly;
 
 private:
+  int anyFewAttempts() {
+    return FewTaskAttempts[Random.below(std::size(FewTaskAttempts))];
+  }
+
+  /// Returns the state of a job by one entry; empty if it does not tell.
+  std::string stateOf(HttpClient &Client, const std::string &Id) {
+    const auto Answer = Client.call(jobCall("GET", Id, "", Queues[Id]));
+    if (!Answer || Answer->Status != 200)
+      return "";
+    const std::size_t From = Answer->Body.find(":\"") + 2;
+    std::string State =
+        Answer->Body.substr(From, Answer->Body.find('"', From) - From);
+    if (State == "failed" || State == "canceled")
+      System.Fleet->noteGivenUp(Id, State);
+    return State;
+  }
+
   TaskDeployment &System;
   Dice Random;
   std::vector<std::unique_ptr<HttpClient>> Clients;
+  std::map<std::string, std::string> Queues;
   std::uint64_t Submitted = 0;
 };
 
@@ -141,7 +183,9 @@
     for (const Instant End = monotonicNow() + Time; monotonicNow() < End;
          std::this_thread::sleep_for(Milliseconds(Random.upTo(MaxPauseMs)))) {
       (void)Client.submit(Client.anyJob());
+      (void)Client.submit(Client.smallGang());
       Client.checkAnyState();
+      Client.checkFailures();
     }
   };
   SubmitFor(std::chrono::seconds(Seconds), 500);
@@ -155,8 +199,9 @@
   const bool AllEnded = waitFor(
       [&] {
         Open.clear();
+        Client.checkFailures();
         for (const std::string &Id : Client.Accepted)
-          if (!System.Fleet->isDone(Id))
+          if (!System.Fleet->isDone(Id) && !System.Fleet->hasFailed(Id))
             Open += Id + " ";
         return Open.empty();
       },
@@ -164,17 +209,24 @@
   const auto Took = monotonicNow() - SubmissionsEnded;
   std::string Wrong = Client.ShownTooEarly;
   for (const std::string &Id : Client.Accepted)
-    if (System.Fleet->isDone(Id) &&
-        !waitFor([&] { return Client.stateOf(Id) == "completed"; },
+    if (!System.Fleet->isDone(Id))
+      // Judged by the fleet, which also knows why an open job may have failed.
+      (void)Client.stateOf(Id);
+    else if (!waitFor(
+                 [&] {
+                   return Client.stateOf(Id) == "completed" ||
+                          System.Fleet->hasFailed(Id);
+                 },
                  Milliseconds(3000)))
       Wrong += Id + " is shown as " + Client.stateOf(Id) + "\n";
-  std::printf(
-      "seed %d: %zu jobs, open ones ended after %lld ms, longest idle wait "
-      "%lld ms, %zu late starts, %zu late writes\n%s\n",
-      Seed, Client.Accepted.size(), static_cast<long long>(Took.count()),
-      static_cast<long long>(System.Fleet->longestIdleWait().count()),
-      System.Fleet->lateStarts(), System.Store.lateWrites(),
-      System.Fleet->eventCounts().c_str());
+  std::printf("seed %d: %zu jobs, %zu failed with cause, open ones ended after "
+              "%lld ms, longest idle wait %lld ms, %zu late starts, %zu late "
+              "writes\n%s\n",
+              Seed, Client.Accepted.size(), System.Fleet->failedJobs(),
+              static_cast<long long>(Took.count()),
+              static_cast<long long>(System.Fleet->longestIdleWait().count()),
+              System.Fleet->lateStarts(), System.Store.lateWrites(),
+              System.Fleet->eventCounts().c_str());
   const std::string Broken = System.Fleet->violations();
   if (!AllEnded || !Wrong.empty() || !Broken.empty())
     keepLogs(System, "seed-" + std::to_string(Seed));
@@ -187,9 +239,10 @@
 
 TEST_GROUP(TaskSoak){};
 
-// Guards against accepted jobs that are lost, run twice, or have nothing
-// running although there is room, after overlapping faults of processes, store
-// and workers, and late and foreign messages.
+// Guards against accepted jobs that are lost, run twice, start beyond their
+// attempts, are shown as failed although they have attempts left, or have
+// nothing running although there is room, after overlapping faults of
+// processes, store and workers, and late and foreign messages.
 TEST(TaskSoak, RunsEveryAcceptedJobAfterRandomFaults) { soak(false); }
 
 // Guards against tasks that run twice because a start that a worker did not
--- a/tests/support/RunJudge.cpp
+++ b/tests/support/RunJudge.cpp
@@ -9,17 +9,20 @@
 constexpr std::size_t MaxReports = 20;
 constexpr std::size_t MaxEvents = 200000;
 
+} // namespace
+
 std::string textOf(const SeenRun &Run) {
   return Run.Task + " run " + std::to_string(Run.Number) + " on " +
          Run.WorkerIp + (Run.IsLate ? " (late)" : "");
 }
 
-/// One end as done represents all tasks of a gang.
 std::string unitOf(const SeenRun &Run) {
   return Run.IsGang ? stepOf(Run.Task) : Run.Task;
 }
 
-} // namespace
+std::string jobOf(const std::string &Task) {
+  return Task.substr(0, Task.find('.'));
+}
 
 std::string stepOf(const std::string &Task) {
   return Task.substr(0, Task.rfind('.'));
@@ -60,6 +63,7 @@
 
 void RunJudge::noteAcknowledged(const SeenRun &Run, EventNumber DoneAt) {
   note("done noted " + textOf(Run));
+  // One end as done represents all tasks of a gang.
   const std::string Unit = unitOf(Run);
   if (!NotedDone.emplace(Unit, DoneAt).second)
     return;
--- a/tests/support/RunJudge.h
+++ b/tests/support/RunJudge.h
@@ -71,6 +71,11 @@
 
 /// Returns "JOB.OCCURRENCE.STEP" of a task.
 std::string stepOf(const std::string &Task);
+std::string jobOf(const std::string &Task);
+/// Returns the step of a gang's member, or the name of a single task. The runs
+/// of a unit count together.
+std::string unitOf(const SeenRun &Run);
+std::string textOf(const SeenRun &Run);
 
 } // namespace baobabcove::testing
 
--- a/tests/support/TaskDeployment.cpp
+++ b/tests/support/TaskDeployment.cpp
@@ -33,11 +33,15 @@
 
 } // namespace
 
+std::string queuePrefix(int Few) {
+  return Few ? "/few-" + std::to_string(Few) + "/" : "/queue/";
+}
+
 HttpCall jobCall(const std::string &Method, const std::string &Id,
-                 const std::string &Body) {
+                 const std::string &Body, const std::string &Prefix) {
   HttpCall Call;
   Call.Method = Method;
-  Call.Path = "/queue/" + Id;
+  Call.Path = Prefix + Id;
   Call.Body = Body;
   Call.Headers["Host"] = "jobs.example";
   Call.Timeout = Milliseconds(3000);
@@ -67,7 +71,10 @@
 void TaskDeployment::changeConfig(int Step, int MoreRoutes) {
   const std::lock_guard<std::mutex> Lock(ConfigMutex);
   ConfigVersion += Step;
-  std::string Routes = routeText("q", "/queue/", "planner", MaxAttempts);
+  std::string Routes = routeText("q", queuePrefix(), "planner", MaxAttempts);
+  for (int Few : FewTaskAttempts)
+    Routes += "," + routeText("few-" + std::to_string(Few), queuePrefix(Few),
+                              "planner", Few);
   for (int R = 0; R < MoreRoutes; ++R) {
     const std::string Name = "r" + std::to_string(ConfigVersion % 3 + R);
     Routes += "," + routeText(Name, "/" + Name + "/",
--- a/tests/support/TaskDeployment.h
+++ b/tests/support/TaskDeployment.h
@@ -14,23 +14,28 @@
 
 namespace baobabcove::testing {
 
-/// More attempts than a task needs while most workers are sound.
-constexpr int MaxTaskAttempts = 20;
+/// Attempts of the queues in which jobs often fail with cause.
+constexpr int FewTaskAttempts[] = {2, 3};
 
-/// Returns a call of \p Method to the job \p Id in the queue of TaskDeployment.
+/// Returns the prefix of the queue that allows \p Few attempts, or of the main
+/// queue if it is zero.
+std::string queuePrefix(int Few = 0);
+
+/// Returns a call of \p Method to the job \p Id in a queue of TaskDeployment.
 HttpCall jobCall(const std::string &Method, const std::string &Id,
-                 const std::string &Body = "");
+                 const std::string &Body = "",
+                 const std::string &Prefix = queuePrefix());
 
 /// Entries and agents as real processes, with a store and a worker beside each
-/// agent. The entries serve one queue.
+/// agent. The entries serve a main queue, and one for each of FewTaskAttempts.
 class TaskDeployment {
 public:
-  /// The queue allows \p MaxAttempts runs of a task to fail.
+  /// The main queue allows \p MaxAttempts runs of a task to fail.
   TaskDeployment(std::size_t EntryCount, std::size_t AgentCount,
                  unsigned Seed = 1, int MaxAttempts = MaxTaskAttempts);
 
-  /// Writes a configuration whose version is \p Step higher, with the queue and
-  /// \p MoreRoutes others. Thread-safe.
+  /// Writes a configuration whose version is \p Step higher, with the queues
+  /// and \p MoreRoutes others. Thread-safe.
   void changeConfig(int Step, int MoreRoutes);
 
   KvServer Store;
--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -151,6 +151,10 @@
     At.IsClosing = true;
     At.KeepsId = Next == NextId::Same;
     At.UpAgain = monotonicNow() + Down;
+    for (const auto &[Task, Each] : At.Running)
+      Attempts.noteCrash({Task, Each.Number, At.Ip, Each.GangSize > 1, false});
+    for (const End &Each : At.Ends)
+      Attempts.noteCrash({Each.Task, Each.Run, At.Ip, Each.IsGang, false});
     At.Running.clear();
     Ended = std::move(At.Server);
   }
@@ -287,6 +291,31 @@
   Jobs[Id].Job = Job;
 }
 
+void WorkerFleet::allowAttempts(const std::string &Id, std::size_t Count) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Attempts.allow(Id, Count);
+}
+
+bool WorkerFleet::mayHaveFailed(const std::string &Id) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Attempts.hasCause(Id);
+}
+
+void WorkerFleet::noteGivenUp(const std::string &Id, const std::string &State) {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  Attempts.noteGivenUp(Id, State);
+}
+
+bool WorkerFleet::hasFailed(const std::string &Id) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Attempts.hasFailed(Id);
+}
+
+std::size_t WorkerFleet::failedJobs() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Attempts.failedJobs();
+}
+
 void WorkerFleet::noteFault() {
   const std::lock_guard<std::mutex> Lock(Mutex);
   LastFault = monotonicNow();
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -1,6 +1,7 @@
 #ifndef BAOBABCOVE_TESTS_SUPPORT_WORKERFLEET_H
 #define BAOBABCOVE_TESTS_SUPPORT_WORKERFLEET_H
 
+#include "AttemptJudge.h"
 #include "Dice.h"
 #include "RunJudge.h"
 
@@ -26,6 +27,9 @@
 
 namespace baobabcove::testing {
 
+/// More attempts than a task needs while most workers are sound.
+constexpr int MaxTaskAttempts = 20;
+
 /// The shape of a job of equal tasks.
 struct FleetJob {
   std::size_t Tasks = 1;
@@ -37,6 +41,8 @@
   std::int64_t WorkMs = 0;
   /// What the caller declares about the duration.
   std::int64_t EstimateMs = 0;
+  /// Runs of a task or gang that may fail, by the job's queue.
+  int MaxAttempts = MaxTaskAttempts;
 
   /// Returns the body with which the job is submitted.
   std::string body() const;
@@ -125,6 +131,16 @@
 
   /// Tells that a job was accepted, from which time it must not wait in vain.
   void noteAccepted(const std::string &Id, const FleetJob &Job);
+  /// Tells how many runs of a task or gang of a job may fail, before it is
+  /// submitted.
+  void allowAttempts(const std::string &Id, std::size_t Count);
+  /// Whether a task or gang of a job has failed in as many runs as allowed.
+  bool mayHaveFailed(const std::string &Id) const;
+  /// Tells that a caller saw a job as failed or canceled.
+  void noteGivenUp(const std::string &Id, const std::string &State);
+  /// Whether a job was shown as failed with cause, which is its end.
+  bool hasFailed(const std::string &Id) const;
+  std::size_t failedJobs() const;
   /// Tells that a fault begins or ends; waits count only in calm.
   void noteFault();
 
@@ -272,6 +288,7 @@
   std::map<std::string, std::map<std::uint64_t, std::size_t>> StartedRuns;
   std::deque<BrokenGang> BrokenGangs;
   RunJudge Judge;
+  AttemptJudge Attempts{Judge};
   Dice LateDice;
   std::size_t StartCount = 0;
   std::size_t LateStarts = 0;
--- a/tests/support/WorkerFleetCalls.cpp
+++ b/tests/support/WorkerFleetCalls.cpp
@@ -151,7 +151,9 @@
   ++Starts[Task];
   ++StartedRuns[Task.substr(0, Task.find('.'))][Number];
   ++StartCount;
-  Judge.noteStart({Task, Number, At.Ip, Next.GangSize > 1, IsLate});
+  const SeenRun Begun{Task, Number, At.Ip, Next.GangSize > 1, IsLate};
+  Judge.noteStart(Begun);
+  Attempts.noteStart(Begun);
   checkRuns();
   return respond(reply(At));
 }
@@ -172,9 +174,11 @@
   const auto Through = Order->optValue<std::uint64_t>("acked_through", 0);
   while (!At.Ends.empty() && At.Ends.front().Number <= Through) {
     const End &Each = At.Ends.front();
+    const SeenRun Run{Each.Task, Each.Run, At.Ip, Each.IsGang, false};
     if (Each.How == "done" && !Each.HasLapsed)
-      Judge.noteAcknowledged({Each.Task, Each.Run, At.Ip, Each.IsGang, false},
-                             Each.At);
+      Judge.noteAcknowledged(Run, Each.At);
+    else if (Each.How == "failed" && !Each.HasLapsed)
+      Attempts.noteAcknowledged(Run, Each.At);
     At.Ends.pop_front();
   }
   const Milliseconds Wait(
--- a/tests/support/WorkerFleetRuns.cpp
+++ b/tests/support/WorkerFleetRuns.cpp
@@ -18,10 +18,6 @@
 constexpr Milliseconds MaxIdleWait{3000};
 constexpr Milliseconds CalmAfter{4000};
 
-std::string jobOf(const std::string &Task) {
-  return Task.substr(0, Task.find('.'));
-}
-
 } // namespace
 
 void WorkerFleet::end(Worker &At, const std::string &Task,
@@ -40,6 +36,8 @@
   } else {
     Judge.note(How + " " + Task + " run " + std::to_string(Number) + " on " +
                At.Ip);
+    if (How == "failed")
+      Kept.At = Attempts.noteFailed({Task, Number, At.Ip, IsGang, false});
   }
   if (IsGang && How != "done" && How != "broken")
     BrokenGangs.push_back(
@@ -198,7 +196,8 @@
       Active.insert(jobOf(Task));
   for (auto &[Id, Known] : Jobs) {
     if (!IsCalm || Known.Done.size() >= Known.Job.Tasks || Active.count(Id) ||
-        Known.Job.Tasks == 0 || !isRoomTwiceOver(Known.Job)) {
+        Known.Job.Tasks == 0 || Attempts.hasFailed(Id) ||
+        !isRoomTwiceOver(Known.Job)) {
       Known.IdleSince = Now;
       continue;
     }
