Let members of one run of a gang fail together in the soak

No two members of one run of a gang could end failed in the soak, so it could not see that such a run counted once for each member.

A fifth series of faults, beside the others, fails all members of a running gang at one moment: on one worker, on several, in one run after another, and before a worker of the gang crashes. It holds the ends of some members back by listings that are left unanswered, or by agents that stand still, and meanwhile kills the entries one after another, pauses all of them but one, or restarts the agents of the gang. A listing that waits for an end when its path is delayed stays unanswered as well; otherwise it would carry the end.

--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -26,7 +26,7 @@
 /// Series of faults that overlap.
 constexpr TaskFaults::Kind SeriesOfFaults[] = {
     TaskFaults::Kind::Any, TaskFaults::Kind::Any, TaskFaults::Kind::Workers,
-    TaskFaults::Kind::Messages};
+    TaskFaults::Kind::Messages, TaskFaults::Kind::Gangs};
 constexpr std::uint64_t FirstJob = 0x1000000000000000;
 
 int environmentNumber(const char *Name, int Default) {
@@ -242,7 +242,8 @@
 // Guards against accepted jobs that are lost, run twice, start beyond their
 // attempts, are shown as failed although they have attempts left, or have
 // nothing running although there is room, after overlapping faults of
-// processes, store and workers, and late and foreign messages.
+// processes, store and workers, gangs whose members fail together, and late and
+// foreign messages.
 TEST(TaskSoak, RunsEveryAcceptedJobAfterRandomFaults) { soak(false); }
 
 // Guards against tasks that run twice because a start that a worker did not
--- a/tests/support/TaskFaults.cpp
+++ b/tests/support/TaskFaults.cpp
@@ -33,6 +33,17 @@
       &TaskFaults::crashWorkers, &TaskFaults::restartWorkers,
       &TaskFaults::leaveWorkers, &TaskFaults::drainWorkers,
       &TaskFaults::delayCalls,   &TaskFaults::restartLateWorkers};
+  static const std::vector<Step> OfGangs = {
+      &TaskFaults::failGangOnOneWorker,
+      &TaskFaults::failGangOnWorkers,
+      &TaskFaults::failGangAgain,
+      &TaskFaults::failGangAgain,
+      &TaskFaults::failGangThenCrashWorker,
+      &TaskFaults::failUnheardGang,
+      &TaskFaults::failGangAcrossTakeover,
+      &TaskFaults::failGangAcrossPause,
+      &TaskFaults::failGangAcrossAgentRestarts,
+      &TaskFaults::failGangOfPausedAgents};
   static const std::vector<Step> OfMessages = {
       &TaskFaults::sendForeignHeartbeats,
       &TaskFaults::sendForeignHeartbeats,
@@ -46,6 +57,8 @@
     return Any;
   case Kind::Workers:
     return OfWorkers;
+  case Kind::Gangs:
+    return OfGangs;
   case Kind::Messages:
     return OfMessages;
   }
@@ -85,8 +98,8 @@
   return Chosen;
 }
 
-void TaskFaults::restart(TaskDaemon &Daemon, void (TaskDaemon::*End)()) {
-  const int Pause = Random.upTo(2500);
+void TaskFaults::restart(TaskDaemon &Daemon, void (TaskDaemon::*End)(),
+                         int Pause) {
   const std::lock_guard<std::mutex> Lock(Processes);
   System.Fleet->note("terminate process " + Daemon.ip());
   (Daemon.*End)();
--- a/tests/support/TaskFaults.h
+++ b/tests/support/TaskFaults.h
@@ -21,6 +21,9 @@
     Any,
     /// Workers and calls to them.
     Workers,
+    /// Members of one run of a gang that fail together, whose ends are heard
+    /// late, some of them after a takeover or a restart of an agent.
+    Gangs,
     /// Messages about workers, signals that reload, and configurations: short
     /// ones, of which many fit beside the others.
     Messages,
@@ -49,9 +52,12 @@
   std::vector<std::size_t> workers(int OneIn);
 
   // Processes.
-  void restart(TaskDaemon &Daemon, void (TaskDaemon::*End)());
+  void restart(TaskDaemon &Daemon, void (TaskDaemon::*End)(), int Pause);
   void pause(const TaskDaemon &Daemon, int Ms);
   void reload(const TaskDaemon &Daemon);
+  void restart(TaskDaemon &Daemon, void (TaskDaemon::*End)()) {
+    restart(Daemon, End, Random.upTo(2500));
+  }
   void killEntry() { restart(anyEntry(), &TaskDaemon::kill); }
   void stopEntry() { restart(anyEntry(), &TaskDaemon::stop); }
   void killAgent() { restart(anyAgent(), &TaskDaemon::kill); }
@@ -82,6 +88,37 @@
   /// Delayed orders reach workers that have started again under their id.
   void restartLateWorkers();
 
+  // Gangs.
+  struct Gang {
+    std::string Job;
+    std::vector<std::size_t> Workers;
+  };
+  enum class Spread { Any, OneWorker, SeveralWorkers };
+  /// Waits a while for a gang that runs with all its members. Without one, it
+  /// has no workers.
+  Gang anyGang(Spread Over);
+  /// Returns at least one of the workers of a gang.
+  std::vector<std::size_t> someOf(const Gang &Of);
+  void fail(const Gang &Failing, const std::string &Meanwhile);
+  void failGangOnOneWorker();
+  void failGangOnWorkers();
+  /// Fails one run of a gang after another, so that few attempts are used up.
+  void failGangAgain();
+  void failGangThenCrashWorker();
+  using GangStep = void (TaskFaults::*)(const std::vector<std::size_t> &Held);
+  /// Fails a gang, and leaves listings of some of its workers unanswered during
+  /// \p Meanwhile.
+  void failHeldGang(const std::string &Name, GangStep Meanwhile);
+  void wait(const std::vector<std::size_t> &Held);
+  void killCoordinator(const std::vector<std::size_t> &Held);
+  void pauseCoordinator(const std::vector<std::size_t> &Held);
+  void killAgents(const std::vector<std::size_t> &Held);
+  void failUnheardGang();
+  void failGangAcrossTakeover();
+  void failGangAcrossPause();
+  void failGangAcrossAgentRestarts();
+  void failGangOfPausedAgents();
+
   // Messages about workers.
   using Message = void (WorkerMessages::*)(std::size_t Worker);
   void sendMessages(Message Sent);
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -88,6 +88,9 @@
   /// Ends all members of a gang of the job \p Id as failed before any of them
   /// hears of another's end. Returns their number; zero unless all are running.
   std::size_t failGang(const std::string &Id);
+  /// Returns the jobs with a gang that runs with all its members, and the
+  /// workers of these.
+  std::map<std::string, std::vector<std::size_t>> gangs() const;
   /// While set, a worker sends no heartbeats of its own.
   void setSilent(std::size_t Worker, bool IsSilent);
 
--- a/tests/support/WorkerFleetCalls.cpp
+++ b/tests/support/WorkerFleetCalls.cpp
@@ -47,7 +47,11 @@
   }
   if (!At.IsUp)
     throw Unanswered();
-  return carryOut(At, Request, &Lock);
+  HttpResponse Response = carryOut(At, Request, &Lock);
+  // A listing that was waiting for an end when its path was delayed.
+  if (Request.Path == ListingPath && At.DelayedPath == ListingPath)
+    throw Unanswered();
+  return Response;
 }
 
 bool WorkerFleet::postpone(Worker &At, const HttpRequest &Request) {
--- a/tests/support/WorkerFleetRuns.cpp
+++ b/tests/support/WorkerFleetRuns.cpp
@@ -66,6 +66,26 @@
     endGang(BrokenGangs.front().Step, BrokenGangs.front().Run, "broken");
 }
 
+std::map<std::string, std::vector<std::size_t>> WorkerFleet::gangs() const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  std::map<std::string, std::vector<std::size_t>> Found;
+  std::map<std::string, std::size_t> Missing;
+  for (std::size_t W = 0; W < Workers.size(); ++W)
+    for (const auto &[Task, Each] : Workers[W]->Running) {
+      if (Each.GangSize == 1)
+        continue;
+      const std::string Id = jobOf(Task);
+      --Missing.try_emplace(Id, Each.GangSize).first->second;
+      if (std::vector<std::size_t> &Known = Found[Id];
+          Known.empty() || Known.back() != W)
+        Known.push_back(W);
+    }
+  for (const auto &[Id, Count] : Missing)
+    if (Count > 0)
+      Found.erase(Id);
+  return Found;
+}
+
 std::size_t WorkerFleet::failGang(const std::string &Id) {
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::vector<std::pair<Worker *, std::string>> Members;
