--- a/tests/tasks/coordination/JobTrackerCrashTest.cpp
+++ b/tests/tasks/coordination/JobTrackerCrashTest.cpp
@@ -574,3 +574,35 @@
   CHECK_TRUE(job("gang").task(1).Lost);
   LONGS_EQUAL(1, job("gang").task(0).Crashes.crashes());
 }
+
+// Faults that are open; see KNOWN-RED.txt.
+TEST_GROUP_BASE(GangSuspicion, TEST_GROUP_CppUTestGroupJobTrackerCrash){};
+
+// Guards against a gang that crashes a worker and gets no worker of its own in
+// its next run, because another member of that run is still being stopped when
+// the time of probation is over.
+TEST(GangSuspicion, OutlivesTheOtherMembersOfTheRunWithTheCrash) {
+  startAGangOnTwoWorkers();
+  CellWorker &Crashed = *workerOf("gang.0.0.0");
+  Crashed.restart();
+  // The stop of the other member takes a while.
+  for (int R = 0; R < 20; ++R) {
+    applyReports();
+    carryOut(Crashed, Tracker.ordersFor(Crashed.report()));
+    Now.Boot += Milliseconds(RoundMs);
+  }
+  CHECK(wire::TASK_WAITING == job("gang").task(0).Phase);
+  CHECK_TRUE(job("gang").task(1).Listed);
+  CHECK_TRUE(job("gang").task(0).Crashes.isSuspect());
+}
+
+// Guards against the same because another member of that run ended failed.
+TEST(GangSuspicion, OutlivesAFailedMemberOfTheRunWithTheCrash) {
+  startAGangOnTwoWorkers();
+  workerOf("gang.0.0.0")->restart();
+  applyReports();
+  workerOf("gang.0.0.1")->end("gang.0.0.1", wire::RUN_FAILED);
+  applyReports();
+  LONGS_EQUAL(1, job("gang").task(0).Failures.count());
+  CHECK_TRUE(job("gang").task(0).Crashes.isSuspect());
+}
