Give each test deployment loopback addresses of its own

The third octet of a deployment's addresses was the last byte of the process id of its test, so that two test processes share their addresses once in 256 pairs; then the workers of one also send heartbeats to the agents of the other.

A deployment now claims its network by a listener on an address of it, and takes the next octet if that is in use.

--- a/tests/support/TaskDeployment.cpp
+++ b/tests/support/TaskDeployment.cpp
@@ -3,6 +3,9 @@
 #include <cstdlib>
 #include <fstream>
 
+#include <Poco/Net/NetException.h>
+#include <unistd.h>
+
 namespace baobabcove::testing {
 
 namespace {
@@ -22,16 +25,30 @@
          std::to_string(MaxAttempts) + "}";
 }
 
-/// Returns the address of process \p N of a kind. The last byte of the test's
-/// process id selects the third octet, and the process the last.
-std::string addressOf(unsigned Network, std::size_t N) {
-  const std::string Own = ownAddress(Network);
-  const std::size_t Second = Own.find('.', 4);
-  const std::string Id = Own.substr(Own.rfind('.') + 1);
-  return Own.substr(0, Second) + "." + Id + "." + std::to_string(N + 1);
+} // namespace
+
+LoopbackNetwork::LoopbackNetwork(unsigned First) {
+  constexpr unsigned ThirdOctets = 256;
+  constexpr Poco::UInt16 ClaimPort = 8079;
+  const std::string Own = ownAddress(First);
+  Prefix = Own.substr(0, Own.find('.', 4)) + ".";
+  const auto Preferred = static_cast<unsigned>(::getpid());
+  for (unsigned Tries = 0; Tries < ThirdOctets; ++Tries) {
+    Third = std::to_string((Preferred + Tries) % ThirdOctets);
+    try {
+      Claim.bind({Prefix + Third + ".254", ClaimPort}, false);
+      Claim.listen();
+      return;
+    } catch (const Poco::Net::NetException &) {
+      Claim = Poco::Net::ServerSocket();
+    }
+  }
+  throw Poco::Net::NetException("no free network below " + Prefix);
 }
 
-} // namespace
+std::string LoopbackNetwork::address(std::size_t N) const {
+  return Prefix + Third + "." + std::to_string(N + 1);
+}
 
 std::string queuePrefix(int Few) {
   return Few ? "/few-" + std::to_string(Few) + "/" : "/queue/";
@@ -50,11 +67,12 @@
 
 TaskDeployment::TaskDeployment(std::size_t EntryCount, std::size_t AgentCount,
                                unsigned Seed, int Attempts)
-    : MaxAttempts(Attempts) {
+    : MaxAttempts(Attempts), AgentAddresses(AgentNetwork),
+      EntryAddresses(EntryNetwork) {
   changeConfig(1, 0);
   std::vector<std::string> WorkerIps;
   for (std::size_t N = 0; N < AgentCount; ++N) {
-    WorkerIps.push_back(addressOf(AgentNetwork, N));
+    WorkerIps.push_back(AgentAddresses.address(N));
     Agents.push_back(std::make_unique<TaskDaemon>(
         "baobabcove-task-agent", WorkerIps.back(), AgentMemoryMb,
         Store.openDoor(), "limits.cpu_share=0.15\n"));
@@ -62,7 +80,7 @@
   FirstEntryDoor = AgentCount + 1;
   for (std::size_t N = 0; N < EntryCount; ++N)
     Entries.push_back(std::make_unique<TaskDaemon>(
-        "baobabcove-task-entry", addressOf(EntryNetwork, N), EntryMemoryMb,
+        "baobabcove-task-entry", EntryAddresses.address(N), EntryMemoryMb,
         Store.openDoor(),
         N % 3 ? "limits.cpu_share=0.12\n" : "limits.cpu_share=0.5\n"));
   Fleet = std::make_unique<WorkerFleet>(WorkerIps, Seed);
--- a/tests/support/TaskDeployment.h
+++ b/tests/support/TaskDeployment.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include <Poco/Net/ServerSocket.h>
+
 namespace baobabcove::testing {
 
 /// Attempts of the queues in which jobs often fail with cause.
@@ -26,6 +28,22 @@
                  const std::string &Body = "",
                  const std::string &Prefix = queuePrefix());
 
+/// Loopback addresses that no other test process uses at the same time.
+class LoopbackNetwork {
+public:
+  /// \p First is the second octet; the highest bits of the process id are
+  /// added.
+  explicit LoopbackNetwork(unsigned First);
+  /// Returns the address of process \p N, which is below 253.
+  std::string address(std::size_t N) const;
+
+private:
+  std::string Prefix;
+  std::string Third;
+  /// Listens on an address of the network as long as it is in use.
+  Poco::Net::ServerSocket Claim;
+};
+
 /// Entries and agents as real processes, with a store and a worker beside each
 /// agent. The entries serve a main queue, and one for each of FewTaskAttempts.
 class TaskDeployment {
@@ -47,6 +65,8 @@
 
 private:
   const int MaxAttempts;
+  const LoopbackNetwork AgentAddresses;
+  const LoopbackNetwork EntryAddresses;
   std::mutex ConfigMutex;
   int ConfigVersion = 0;
 };
