Accept a failed job whose ends as done nobody has heard

The check that every job that is done is shown as completed holds as before for jobs whose ends were acknowledged, and for all jobs without such a cause.

--- a/tests/support/WorkerFleet.cpp
+++ b/tests/support/WorkerFleet.cpp
@@ -328,6 +328,16 @@
          Known->second.Done.size() == Known->second.Job.Tasks;
 }
 
+bool WorkerFleet::isDoneNoted(const std::string &Id) const {
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  const auto Known = Jobs.find(Id);
+  if (Known == Jobs.end())
+    return false;
+  const Accepted &Job = Known->second;
+  // One end as done represents all members of a gang.
+  return Job.Noted.size() >= (Job.Job.IsGang ? 1 : Job.Job.Tasks);
+}
+
 std::string WorkerFleet::violations() const {
   const std::lock_guard<std::mutex> Lock(Mutex);
   std::string Text;
--- a/tests/support/WorkerFleet.h
+++ b/tests/support/WorkerFleet.h
@@ -148,6 +148,9 @@
   void noteFault();
 
   bool isDone(const std::string &Id) const;
+  /// Whether the ends of all tasks of a job as done were acknowledged before
+  /// their worker was gone or its lease lapsed.
+  bool isDoneNoted(const std::string &Id) const;
   /// Returns what has broken a rule, one line each.
   std::string violations() const;
   /// Records an event for the trace of a failure.
@@ -238,6 +241,8 @@
     /// Has no tasks until the job was accepted.
     FleetJob Job{0};
     std::set<std::string> Done;
+    /// Those among them whose ends were acknowledged.
+    std::set<std::string> Noted;
     Instant IdleSince{};
     bool IsReported = false;
   };
