--- a/review/standins-3/Cases.cpp
+++ b/review/standins-3/Cases.cpp
@@ -18,10 +18,11 @@
 }
 
 /// Submits a job until an entry accepts it.
-bool submit(System &At, std::size_t N, const std::string &Body) {
+bool submit(System &At, std::size_t N, const std::string &Body,
+            const std::string &WithKey = Key) {
   constexpr int Attempts = 4;
   for (int I = 0; I < Attempts; ++I)
-    if (At.call(N % At.Entries.size(), "POST", Prefix + jobId(N), Body, Key)
+    if (At.call(N % At.Entries.size(), "POST", Prefix + jobId(N), Body, WithKey)
             .Status == 200)
       return true;
   return false;
@@ -233,6 +234,48 @@
   return Running == 0 && After == Before ? Broken : Held;
 }
 
+int budget(Record &Events, const CaseFiles &Files, bool HasTrouble) {
+  constexpr std::size_t AllWorkers = 11;
+  constexpr std::size_t Service = 1;
+  constexpr std::size_t Urgent = 2;
+  constexpr std::size_t Tasks = 2;
+  constexpr Milliseconds Notice{5500};
+  const std::string UrgentKey = "key-2";
+  System At(Events, Files, 3, AllWorkers);
+  if (!At.start(guaranteedConfigText({Key, UrgentKey}, Accelerators)) ||
+      !submit(At, Service,
+              jobText({Milliseconds(0), Accelerators, true}, Tasks, 1)))
+    return CouldNotRun;
+  const Instant StartBy = monotonicNow() + Milliseconds(4000);
+  while (At.Ledger.starts(jobId(Service)) < Tasks && monotonicNow() < StartBy)
+    std::this_thread::sleep_for(Milliseconds(20));
+  std::vector<Worker *> Serving;
+  for (const auto &Each : At.Workers)
+    if (!Each->isIdle())
+      Serving.push_back(Each.get());
+  if (Serving.size() != Tasks || !fill(At, AllWorkers - Tasks))
+    return CouldNotRun;
+  std::this_thread::sleep_for(Milliseconds(4000));
+  if (HasTrouble) {
+    Events.note("disruption: one of the two workers is lost for good");
+    Serving.front()->crash();
+  }
+  std::this_thread::sleep_for(Notice + Milliseconds(2000));
+  const std::size_t Away = HasTrouble ? 1 : 0;
+  if (At.Ledger.starts(jobId(Service)) != Tasks ||
+      !submit(At, Urgent, jobText({Milliseconds(5000), Accelerators, false}, 1),
+              UrgentKey))
+    return CouldNotRun;
+  std::this_thread::sleep_for(Milliseconds(4000));
+  const std::size_t Stopped = At.Ledger.ends(jobId(Service), "stopped");
+  Events.note(
+      "verdict: " + std::to_string(Away) +
+      " task of the step away for over notice_ms, " + std::to_string(Stopped) +
+      " more stopped while at work; may_miss 1; the guaranteed job " +
+      (At.Ledger.hasBegun(jobId(Urgent)) ? "has" : "has not") + " begun");
+  return Away + Stopped > 1 && Stopped > 0 ? Broken : Held;
+}
+
 int revoked(Record &Events, const CaseFiles &Files, bool HasTrouble) {
   constexpr Milliseconds Revoke{5000};
   const std::string Kept = "key-2";
@@ -268,6 +311,8 @@
     return flap(Events, Files, HasTrouble);
   if (Name == "lasting")
     return lasting(Events, Files, HasTrouble);
+  if (Name == "budget")
+    return budget(Events, Files, HasTrouble);
   if (Name == "revoked")
     return revoked(Events, Files, HasTrouble);
   if (Name == "waiting")
