--- a/review/standins-3/Cases.cpp
+++ b/review/standins-3/Cases.cpp
@@ -234,46 +234,57 @@
   return Running == 0 && After == Before ? Broken : Held;
 }
 
-int budget(Record &Events, const CaseFiles &Files, bool HasTrouble) {
+/// Returns the number of the job's tasks that run.
+std::size_t running(const System &At, std::size_t N) {
+  return At.Ledger.starts(jobId(N)) - At.Ledger.ends(jobId(N), "lost");
+}
+
+int suspects(Record &Events, const CaseFiles &Files, bool HasTrouble) {
   constexpr std::size_t AllWorkers = 11;
-  constexpr std::size_t Service = 1;
-  constexpr std::size_t Urgent = 2;
-  constexpr std::size_t Tasks = 2;
-  constexpr Milliseconds Notice{5500};
-  const std::string UrgentKey = "key-2";
+  constexpr std::size_t Tasks = 6;
+  constexpr std::size_t Job = 1;
+  constexpr Milliseconds Down{1000};
+  // From 6 s after the last run, for 3 s; these and the 4 s before are calm.
+  constexpr Milliseconds Idle{9000};
+  constexpr Milliseconds Calm{7000};
   System At(Events, Files, 3, AllWorkers);
-  if (!At.start(guaranteedConfigText({Key, UrgentKey}, Accelerators)) ||
-      !submit(At, Service,
-              jobText({Milliseconds(0), Accelerators, true}, Tasks, 1)))
+  if (!At.start(configText(1, {Key}, 3)) || !fill(At, AllWorkers - 1))
     return CouldNotRun;
-  const Instant StartBy = monotonicNow() + Milliseconds(4000);
-  while (At.Ledger.starts(jobId(Service)) < Tasks && monotonicNow() < StartBy)
-    std::this_thread::sleep_for(Milliseconds(20));
-  std::vector<Worker *> Serving;
+  Worker *Free = nullptr;
   for (const auto &Each : At.Workers)
-    if (!Each->isIdle())
-      Serving.push_back(Each.get());
-  if (Serving.size() != Tasks || !fill(At, AllWorkers - Tasks))
+    if (Each->isIdle())
+      Free = Each.get();
+  if (!Free || !submit(At, Job, jobText({Milliseconds(0), 1, true}, Tasks)))
+    return CouldNotRun;
+  const Instant StartBy = monotonicNow() + Milliseconds(15000);
+  while (running(At, Job) < Tasks && monotonicNow() < StartBy)
+    std::this_thread::sleep_for(Milliseconds(20));
+  if (running(At, Job) < Tasks)
     return CouldNotRun;
   std::this_thread::sleep_for(Milliseconds(4000));
+  const Instant LastEnd = monotonicNow();
   if (HasTrouble) {
-    Events.note("disruption: one of the two workers is lost for good");
-    Serving.front()->crash();
+    Events.note("disruption: the worker crashes");
+    Free->crash();
+    std::this_thread::sleep_for(Down);
+    if (!Free->start())
+      return CouldNotRun;
   }
-  std::this_thread::sleep_for(Notice + Milliseconds(2000));
-  const std::size_t Away = HasTrouble ? 1 : 0;
-  if (At.Ledger.starts(jobId(Service)) != Tasks ||
-      !submit(At, Urgent, jobText({Milliseconds(5000), Accelerators, false}, 1),
-              UrgentKey))
-    return CouldNotRun;
-  std::this_thread::sleep_for(Milliseconds(4000));
-  const std::size_t Stopped = At.Ledger.ends(jobId(Service), "stopped");
-  Events.note(
-      "verdict: " + std::to_string(Away) +
-      " task of the step away for over notice_ms, " + std::to_string(Stopped) +
-      " more stopped while at work; may_miss 1; the guaranteed job " +
-      (At.Ledger.hasBegun(jobId(Urgent)) ? "has" : "has not") + " begun");
-  return Away + Stopped > 1 && Stopped > 0 ? Broken : Held;
+  waitUntil(LastEnd + std::max(Idle, Down + Calm));
+  const std::size_t Running = running(At, Job);
+  Events.note("verdict: " + std::to_string(Running) + " of " +
+              std::to_string(Tasks) + " lasting tasks run " +
+              std::to_string(Milliseconds(monotonicNow() - LastEnd).count()) +
+              " ms after their last runs; the worker has room for 8");
+  const Instant GiveUp = monotonicNow() + Milliseconds(15000);
+  while (running(At, Job) < Tasks && monotonicNow() < GiveUp)
+    std::this_thread::sleep_for(Milliseconds(50));
+  Events.note(std::to_string(running(At, Job)) + " run " +
+              std::to_string(Milliseconds(monotonicNow() - LastEnd).count()) +
+              " ms after their last runs");
+  // The capacity for all that wait is there twice over.
+  const std::size_t Waiting = Tasks - Running;
+  return Waiting > 0 && Accelerators - Running >= 2 * Waiting ? Broken : Held;
 }
 
 int revoked(Record &Events, const CaseFiles &Files, bool HasTrouble) {
@@ -311,8 +322,8 @@
     return flap(Events, Files, HasTrouble);
   if (Name == "lasting")
     return lasting(Events, Files, HasTrouble);
-  if (Name == "budget")
-    return budget(Events, Files, HasTrouble);
+  if (Name == "suspects")
+    return suspects(Events, Files, HasTrouble);
   if (Name == "revoked")
     return revoked(Events, Files, HasTrouble);
   if (Name == "waiting")
--- a/review/standins-3/System.cpp
+++ b/review/standins-3/System.cpp
@@ -239,22 +239,10 @@
          R"("tenants":[{"name":"t1","api_keys":[)" + KeyList + "]}]}";
 }
 
-std::string guaranteedConfigText(const std::vector<std::string> &Keys,
-                                 std::size_t Accelerators) {
-  std::string Text = configText(1, {Keys[0]}, 3);
-  const std::string Tenants = R"("tenants":[)";
-  Text.insert(Text.find(Tenants) + Tenants.size(),
-              R"({"name":"t2","guaranteed":{"gpu":)" +
-                  std::to_string(Accelerators) + R"(},"api_keys":[")" +
-                  Keys[1] + R"("]},)");
-  return Text;
-}
-
-std::string jobText(const Work &Task, std::size_t Count, std::size_t MayMiss) {
+std::string jobText(const Work &Task, std::size_t Count) {
   return R"({"spec":")" + Task.spec() + R"(","steps":[{"count":)" +
          std::to_string(Count) + R"(,"cpu":1000,"mem_mb":1024,"gpu":)" +
          std::to_string(Task.Accelerators) +
-         (MayMiss ? R"(,"may_miss":)" + std::to_string(MayMiss) : "") +
          (Task.Lasts
               ? std::string(R"(,"long_running":true)")
               : R"(,"estimate_ms":)" + std::to_string(Task.Duration.count())) +
--- a/review/standins-3/System.h
+++ b/review/standins-3/System.h
@@ -89,14 +89,8 @@
 /// The route of the jobs of a case, with its key.
 std::string configText(int Version, const std::vector<std::string> &Keys,
                        int MaxAttempts, bool Anonymous = false);
-/// The same route for two tenants with a key each, of which the second is
-/// guaranteed some accelerators.
-std::string guaranteedConfigText(const std::vector<std::string> &Keys,
-                                 std::size_t Accelerators);
-/// Returns a body with one step of equal tasks, of which \p MayMiss may be
-/// unavailable.
-std::string jobText(const Work &Task, std::size_t Count,
-                    std::size_t MayMiss = 0);
+/// Returns a body with one step of equal tasks.
+std::string jobText(const Work &Task, std::size_t Count);
 /// Returns the id of job \p N of a case.
 std::string jobId(std::size_t N);
 /// The path prefix of the route.
--- a/review/standins-3/Worker.cpp
+++ b/review/standins-3/Worker.cpp
@@ -129,8 +129,10 @@
     const std::lock_guard<std::mutex> Lock(Mutex);
     IsUp = false;
     std::string Lost;
-    for (const auto &[Task, Each] : Running)
+    for (const auto &[Task, Each] : Running) {
       Lost += " " + Task + " run " + std::to_string(Each.Number);
+      Ledger.noteEnd(Task, "lost");
+    }
     Events.note("worker " + Ip + ": crash of " + Id + ", lost:" + Lost);
     Running.clear();
   }
