--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Runs the case; claim.txt says what it shows. Exits with 1 if the rule was
-# broken, 0 if it held, 2 if the case could not run.
+# broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out.
 set -uo pipefail
+export TROUBLE="${TROUBLE:-1}"
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review-3/review-3 ] || exit 2
