Tell a job as begun only once a worker has begun it

Over 5 s after eight jobs were accepted, none had begun; each entry told "waiting":0, and "running" as the state of each job.

Cause: JobTracker::applyPlan set Begun when it placed a run. That is a decision of the coordinator; it was stored and told as a fact of the workers, and nothing took it back.

Evidence: front-3 logs "run placed" of job 1 at 0.01, 1.6, 3.1 and 4.6 s, each followed by "run did not start why=REFUSED_UNHEALTHY" within 10 ms, the agent "start sent outcome=refused why="status 503"". An entry with an old copy of the store would show the placement late; all three told 0.

The fix: a job has begun once a worker lists a run of it, lists an end of one, or was lost after its agent had seen one run ("job begun", with the evidence). Answered starts are listed by the agent; a run whose answer was lost, or that was given up, counts when a worker lists it. It stays begun: it is stored within 0.5 s, together with other writes where there are any, and entries never take it back. A record of an earlier release, where begun means placed, counts as begun.

The same cause on related paths: - "step waits" ended with each placement (waited_ms=1127 after 4.2 s of refusals); it goes on until a worker begins a task, and names tasks that are placed but do not begin (not_begun). A run that was never listed teaches nothing. - A long-running task whose first start was refused took precedence as one that was down. - A job counted as at work, so that its other tasks waited for their data or the reserve, for as long as a placed task did not begin.

--- a/src/tasks/TaskJob.cpp
+++ b/src/tasks/TaskJob.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::uint32_t NotPopulated =
     std::numeric_limits<std::uint32_t>::max();
+/// A start takes two messages and a write to the store. A worker that has not
+/// begun a run this long after its placement does not answer, or refuses.
+constexpr Milliseconds MaxStartDelay{1000};
 
 } // namespace
 
@@ -104,6 +107,8 @@
   Failed = Stored.failed();
   Completed = Stored.completed();
   Begun = Stored.begun();
+  for (TaskState &Task : Tasks)
+    Task.HasBegun = Begun && Task.Run > 0;
   EndedMs = Stored.ended_ms();
   restoreUnits();
 }
@@ -222,6 +227,30 @@
   });
 }
 
+bool TaskJob::hasTasksAtWork(BootInstant Now) const {
+  return std::any_of(Tasks.begin(), Tasks.end(), [&](const TaskState &Task) {
+    return Task.Phase == wire::TASK_PLACED &&
+           (Task.Listed || Now - Task.PlacedAt < MaxStartDelay);
+  });
+}
+
+bool TaskJob::hasUnbegunRun(std::size_t First, std::size_t Count) const {
+  const auto Begin = Tasks.begin() + static_cast<std::ptrdiff_t>(First);
+  return std::any_of(Begin, Begin + static_cast<std::ptrdiff_t>(Count),
+                     [](const TaskState &Task) {
+                       return Task.Phase == wire::TASK_PLACED && !Task.Listed;
+                     });
+}
+
+bool TaskJob::hasWithdrawnStart(std::size_t First, std::size_t Count) const {
+  const auto Begin = Tasks.begin() + static_cast<std::ptrdiff_t>(First);
+  return std::any_of(Begin, Begin + static_cast<std::ptrdiff_t>(Count),
+                     [](const TaskState &Task) {
+                       return Task.Phase == wire::TASK_PLACED && !Task.Listed &&
+                              Task.StopRequested;
+                     });
+}
+
 bool TaskJob::areAllDone() const {
   return std::all_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
     return Task.Phase == wire::TASK_DONE;
--- a/src/tasks/TaskJob.h
+++ b/src/tasks/TaskJob.h
@@ -78,6 +78,9 @@
   // Not stored.
   /// Whether the worker has listed the run.
   bool Listed = false;
+  /// Whether a worker has begun any run of the task. After a takeover, assumed
+  /// of each task of a begun job that was placed.
+  bool HasBegun = false;
   bool StopRequested = false;
   /// Whether an earlier run has completed the task; the current one is being
   /// stopped.
@@ -88,6 +91,8 @@
   /// Revision of the orders of this term that first contained the run; zero
   /// before they are published.
   std::uint64_t OrderRevision = 0;
+  /// When the run was placed; zero for a run that an earlier coordinator
+  /// ordered. A worker may begin it much later, or never.
   BootInstant PlacedAt{};
   /// When the worker first and last listed the run.
   BootInstant FirstListedAt{};
@@ -119,7 +124,7 @@
   bool Cancelled = false;
   bool Failed = false;
   bool Completed = false;
-  /// Whether any task has been started.
+  /// Whether a worker has begun any task. Stays true however the run ends.
   bool Begun = false;
 
   /// Returns the status for clients. A job that completed or failed before its
@@ -139,7 +144,7 @@
   /// Restores stored progress. Records that match no task of the job are
   /// skipped.
   void restore(const wire::TaskJobProgress &Stored);
-  /// Returns the progress to store; tasks that were never started are omitted.
+  /// Returns the progress to store; tasks that were never placed are omitted.
   wire::TaskJobProgress progress() const;
 
   /// Frees the state of the tasks of an ended job whose progress is stored. The
@@ -177,6 +182,14 @@
   bool hasWaitingTask(std::size_t First, std::size_t Count) const;
   /// Whether any run may still exist.
   bool hasPlacedTasks() const;
+  /// Whether any task is listed by its worker, or was placed so recently that
+  /// its worker is still expected to begin it.
+  bool hasTasksAtWork(BootInstant Now) const;
+  /// Whether any of \p Count tasks from \p First on is placed and its worker
+  /// has not begun the run.
+  bool hasUnbegunRun(std::size_t First, std::size_t Count) const;
+  /// Whether the start of any of these runs has been withdrawn.
+  bool hasWithdrawnStart(std::size_t First, std::size_t Count) const;
   bool areAllDone() const;
 
   /// Unix time in milliseconds at which the last run of an ended job was gone;
--- a/src/tasks/agent/ReportParts.cpp
+++ b/src/tasks/agent/ReportParts.cpp
@@ -66,12 +66,13 @@
   }
 }
 
-void addLostRuns(wire::TaskReport &Report, const std::set<RunId> &Lost) {
+void addLostRuns(wire::TaskReport &Report, const LostRunMap &Lost) {
   ListBudget Budget;
-  for (const auto &[Task, Run] : Lost) {
+  for (const auto &[Run, HasBegun] : Lost) {
     wire::RunKey Key;
-    Key.set_task(Task);
-    Key.set_run(Run);
+    Key.set_task(Run.first);
+    Key.set_run(Run.second);
+    Key.set_begun(HasBegun);
     if (!Budget.take(Key)) {
       Report.clear_lost_runs();
       Report.clear_lost_worker();
--- a/src/tasks/agent/ReportParts.h
+++ b/src/tasks/agent/ReportParts.h
@@ -8,7 +8,7 @@
 #include "tasks/agent/RunOrderTracker.h"
 
 #include <cstddef>
-#include <set>
+#include <map>
 #include <vector>
 
 namespace baobabcove {
@@ -27,10 +27,14 @@
 void addRefusals(wire::TaskReport &Report,
                  const std::vector<wire::RunRefusal> &Refusals);
 
+/// The runs that a lost worker incarnation had or may have begun, and whether
+/// it is known to have begun them.
+using LostRunMap = std::map<RunId, bool>;
+
 /// Adds \p Lost, the runs of the worker incarnation that was lost. If they are
 /// too many, that incarnation is not named at all, and its runs are unknown to
 /// the coordinator.
-void addLostRuns(wire::TaskReport &Report, const std::set<RunId> &Lost);
+void addLostRuns(wire::TaskReport &Report, const LostRunMap &Lost);
 
 } // namespace baobabcove
 
--- a/src/tasks/agent/TaskAgent.h
+++ b/src/tasks/agent/TaskAgent.h
@@ -7,6 +7,7 @@
 #include "store/TransactionalStore.h"
 #include "tasks/WorkerIncarnation.h"
 #include "tasks/agent/LateStarts.h"
+#include "tasks/agent/ReportParts.h"
 #include "tasks/agent/RunOrderTracker.h"
 #include "tasks/agent/StartLimit.h"
 #include "tasks/agent/WorkerCandidates.h"
@@ -187,9 +188,9 @@
   /// earlier agent can have sent starts to it.
   bool IsSoleAgent = false;
   /// The latest incarnation that ended, with the runs that it had or may have
-  /// started, and whether it can have had no others.
+  /// begun, and whether it can have had no others.
   WorkerIncarnation LostWorker;
-  std::set<RunId> LostRuns;
+  LostRunMap LostRuns;
   bool AreLostRunsComplete = false;
   /// Runs whose starts were sent to the current incarnation and not refused,
   /// and whose ends it has not listed.
--- a/src/tasks/agent/TaskAgentWorker.cpp
+++ b/src/tasks/agent/TaskAgentWorker.cpp
@@ -230,9 +230,11 @@
     LeftWorker = WorkerName;
   LostWorker = Listed || IsSoleAgent ? WorkerName : WorkerIncarnation();
   AreLostRunsComplete = IsSoleAgent;
-  LostRuns = StartsSent;
+  LostRuns.clear();
+  for (const RunId &Run : StartsSent)
+    LostRuns[Run] = false;
   for (const wire::RunStatus &Run : Running)
-    LostRuns.insert({Run.task(), Run.run()});
+    LostRuns[{Run.task(), Run.run()}] = true;
   for (const wire::RunEnd &End : Ends)
     LostRuns.erase({End.task(), End.run()});
   const BootInstant Now = BootClock::now();
--- a/src/tasks/coordination/JobTracker.cpp
+++ b/src/tasks/coordination/JobTracker.cpp
@@ -47,6 +47,7 @@
   DrainingWorkers.clear();
   EarlyCancels.clear();
   UnflushedCheckpoints.clear();
+  UnstoredBegun.clear();
   Reservations.clear();
   FirstPlanAt = BootInstant{};
   WaitingSteps.clear();
@@ -171,6 +172,7 @@
     return;
   }
   RunTimes.noteWorker(Report);
+  noteLostRuns(Report, Now);
   adoptIncarnation(Report, Now);
   applyRunning(Report, Incarnation, Now);
   applyEnds(Report, Incarnation, Now);
@@ -184,19 +186,21 @@
   for (const wire::RunStatus &Run : Report.running()) {
     TaskRef At{};
     TaskState *Task = findRun(Run.task(), Run.run(), Incarnation, At);
-    if (!Task)
+    if (!Task) {
+      // A run that was given up has begun late.
+      if (const auto Stale = findTask(Run.task()))
+        noteBegun(*Stale, Run.run(), "listed", Now);
       continue;
+    }
     if (!Task->Listed || Task->Percent != Run.percent())
       Task->PercentChangedAt = Now.Boot;
     Task->Percent = Run.percent();
-    // After a takeover the start time of the run is unknown.
-    if (Task->PlacedAt == BootInstant{}) {
-      Task->PlacedAt = Now.Boot;
+    if (!Task->Listed) {
+      Task->FirstListedAt = Now.Boot;
       Task->Pace = RunPace(!Task->Checkpoint.empty());
+      noteCurrentRunBegun(At, "listed", Now);
     }
     Task->Pace.note(Run.percent(), Now.Boot);
-    if (!Task->Listed)
-      Task->FirstListedAt = Now.Boot;
     Task->Listed = true;
     Task->LastListedAt = Now.Boot;
     RunTimes.noteProgress(*At.Job, At.Task);
--- a/src/tasks/coordination/JobTracker.h
+++ b/src/tasks/coordination/JobTracker.h
@@ -95,6 +95,9 @@
   /// Marks jobs with new checkpoints as dirty, at most once per checkpoint
   /// period.
   void flushCheckpoints(const ClockReading &Now);
+  /// Marks jobs that have begun as dirty, together with others if possible, so
+  /// that few of them cost a write of their own.
+  void flushBegunJobs(const ClockReading &Now);
 
   /// Stops stalled runs so that they restart on other workers, if little work
   /// is lost, and quarantines their workers.
@@ -123,7 +126,8 @@
 
   /// The longest waits of steps, as explained about once a second.
   const std::vector<StepWait> &waits() const { return Waits; }
-  /// Number of steps that have ready tasks and did not place any.
+  /// Number of steps that have ready tasks and of which no worker has begun one
+  /// since they became ready or the last one was begun.
   std::size_t waitingSteps() const { return WaitingSteps.size(); }
 
   /// Number of runs in evacuated data centres at the last plan, and of the runs
@@ -178,6 +182,15 @@
   /// on \p Incarnation, and null otherwise.
   TaskState *findRun(const std::string &Name, std::uint64_t Run,
                      const WorkerIncarnation &Incarnation, TaskRef &At);
+  /// Records that a worker has begun a run of a task. \p Evidence is logged.
+  void noteBegun(TaskRef At, std::uint64_t Run, const std::string &Evidence,
+                 const ClockReading &Now);
+  /// Records that the current run of a task has begun, which ends the wait of
+  /// its step.
+  void noteCurrentRunBegun(TaskRef At, const std::string &Evidence,
+                           const ClockReading &Now);
+  /// Records the runs that a worker had begun before it was lost.
+  void noteLostRuns(const wire::TaskReport &Report, const ClockReading &Now);
   void applyRunning(const wire::TaskReport &Report,
                     const WorkerIncarnation &Incarnation,
                     const ClockReading &Now);
@@ -273,8 +286,9 @@
   /// Lets a unit of a long-running step that was down precede all but the
   /// guaranteed ones and ignore the reserve of fully free workers.
   static void preferRestart(PlanUnit &Unit, const TaskJob &Job);
-  /// Notes that the step whose first task is \p First has ready tasks, for
-  /// which the units of \p Input from \p FirstUnit on were added, if any.
+  /// Notes that the step whose first task is \p First has ready tasks that no
+  /// worker has begun, for which the units of \p Input from \p FirstUnit on
+  /// were added, if any.
   void noteWaitingStep(const TaskJob &Job, std::size_t First,
                        const ClockReading &Now, std::size_t FirstUnit,
                        PlanInput &Input);
@@ -322,6 +336,10 @@
   /// Cancellations that overtook their jobs, which arrive from other threads.
   std::set<JobId> EarlyCancels;
   BootInstant CheckpointsFlushedAt{};
+  /// Jobs that have begun, which is not stored yet, and since when the oldest
+  /// of them waits for that.
+  std::set<JobId> UnstoredBegun;
+  BootInstant UnstoredBegunSince{};
   /// Earliest time at which a refused task may be placed again, by task name.
   std::map<std::string, BootInstant> RetryNotBefore;
   /// Number of the last end applied, by worker incarnation.
@@ -333,10 +351,12 @@
   /// Workers reserved by the last plan, by the unit's first task.
   std::map<std::pair<JobId, std::size_t>, std::vector<WorkerIncarnation>>
       Reservations;
-  /// Since when steps have had ready tasks without placing any, by step key.
+  /// Since when steps have had ready tasks without a worker beginning any, by
+  /// step key.
   std::map<std::string, BootInstant> WaitingSteps;
-  /// Those among them that still wait in this round.
-  std::set<std::string> StillWaiting;
+  /// Those among them that still wait in this round, and why if the plan does
+  /// not tell.
+  std::map<std::string, WaitReason> StillWaiting;
   std::vector<StepWait> Waits;
   BootInstant WaitsExplainedAt{};
   bool ExplainsWaits = false;
--- a/src/tasks/coordination/JobTrackerEnds.cpp
+++ b/src/tasks/coordination/JobTrackerEnds.cpp
@@ -30,7 +30,12 @@
     if (End.number() <= Through)
       continue;
     TaskRef At{};
-    if (findRun(End.task(), End.run(), Incarnation, At))
+    const TaskState *Current = findRun(End.task(), End.run(), Incarnation, At);
+    if (Current && !Current->Listed)
+      noteCurrentRunBegun(At, "ended", Now);
+    else if (const auto Ended = findTask(End.task()); Ended && !Current)
+      noteBegun(*Ended, End.run(), "ended", Now);
+    if (Current)
       applyEnd(End, At, Now);
     else if (End.ending() == wire::RUN_DONE)
       IsHeld = !applyStaleDone(End, Incarnation) || IsHeld;
--- a/src/tasks/coordination/JobTrackerLongRunning.cpp
+++ b/src/tasks/coordination/JobTrackerLongRunning.cpp
@@ -54,7 +54,7 @@
 void JobTracker::preferRestart(PlanUnit &Unit, const TaskJob &Job) {
   const bool WasDown =
       std::any_of(Unit.Tasks.begin(), Unit.Tasks.end(),
-                  [&](std::size_t At) { return Job.task(At).Run > 0; });
+                  [&](std::size_t At) { return Job.task(At).HasBegun; });
   if (!WasDown || !Unit.Step->long_running())
     return;
   Unit.KeepFullyFree = 0;
--- a/src/tasks/coordination/JobTrackerPlanning.cpp
+++ b/src/tasks/coordination/JobTrackerPlanning.cpp
@@ -15,7 +15,7 @@
 /// Cores that one accelerator is equivalent to when lost work is valued, by the
 /// users' price list.
 constexpr double CoresPerAccelerator = 8;
-/// A unit of a job with no task placed that has waited for longer may run away
+/// A unit of a job with no task at work that has waited for longer may run away
 /// from its data while most of the cell is free. The users' limit on such a
 /// wait is 3 s; the writes to the store and the start take 0.5 s of it.
 constexpr Milliseconds MaxIdleWait{2000};
@@ -50,7 +50,7 @@
 /// A job with more slack than this leaves some workers fully free for urgent
 /// tasks: those that need a whole worker can wait for 2 s at most.
 constexpr Milliseconds HoldbackMinSlack{5000};
-/// A job that has waited for this long with no task running ignores that
+/// A job that has waited for this long with no task at work ignores that
 /// reserve, so that it does not starve while resources are free.
 constexpr Milliseconds MaxHoldback{8000};
 constexpr double FullyFreeShareForUrgent = 0.16;
@@ -347,7 +347,7 @@
   Unit.MayWait = Milliseconds(MaxWaitForEnds.count() - WaitedMs);
   const bool HeldBackTooLong =
       WaitedMs >= MaxHoldback.count() &&
-      (!Job.hasPlacedTasks() || Unit.Step->long_running());
+      (!Job.hasTasksAtWork(Now.Boot) || Unit.Step->long_running());
   if (Job.spec().priority() > 0 && Forecast.Completion == JobForecast::OnTime &&
       Forecast.Slack > HoldbackMinSlack && !HeldBackTooLong)
     Unit.KeepFullyFree = static_cast<std::size_t>(
@@ -358,7 +358,7 @@
   const auto Waiting = WaitingSteps.find(Unit.StepKey);
   Unit.IsIdleForLong = Waiting != WaitingSteps.end() &&
                        Now.Boot - Waiting->second >= MaxIdleWait &&
-                       !Job.hasPlacedTasks();
+                       !Job.hasTasksAtWork(Now.Boot);
   return Unit;
 }
 
@@ -391,7 +391,8 @@
         addGang(Job, First, std::move(Unit), Now, Input);
       else
         addSingleTasks(Job, First, Unit, Now, Input);
-      if (Job.hasWaitingTask(First, Declared.count()))
+      if (Job.hasWaitingTask(First, Declared.count()) ||
+          Job.hasUnbegunRun(First, Declared.count()))
         noteWaitingStep(Job, First, Now, FirstUnit, Input);
     }
   }
@@ -412,8 +413,9 @@
 void JobTracker::addSingleTasks(TaskJob &Job, std::size_t First,
                                 const PlanUnit &Common, const ClockReading &Now,
                                 PlanInput &Input) {
-  // Tasks that have run before and tasks under suspicion have a bound of their
-  // own, so that others of the step, which may not fit, cannot hold them back.
+  // Tasks that were placed before and tasks under suspicion have a bound of
+  // their own, so that others of the step, which may not fit, cannot hold them
+  // back.
   std::map<std::pair<bool, bool>, std::size_t> Planned;
   for (std::size_t At = First; At < First + Common.Step->count(); ++At) {
     if (!mayStart(Job, At, Now))
@@ -467,7 +469,6 @@
     Task.CheckpointAt = {};
     Task.StopRequested = false;
     Task.Lost = false;
-    Job.Begun = true;
     Dirty.insert(Start.Job);
     LOG4CPLUS_INFO(
         runLog(), LogFields("run placed")
--- a/src/tasks/coordination/JobTrackerProgress.cpp
+++ b/src/tasks/coordination/JobTrackerProgress.cpp
@@ -14,6 +14,10 @@
 /// production sites take a checkpoint every 0.5 to 2 s.
 constexpr Milliseconds CheckpointPeriod{1000};
 
+/// Clients may see that a job has begun 2 s after its worker began it. The
+/// other part of that time is for the report, the round and the entries' copy.
+constexpr Milliseconds MaxBegunJobDelay{500};
+
 /// No run is stalled before it has made no progress for this long. Reports
 /// arrive twice a second. Tasks of more than 160 s need longer for one percent;
 /// their limit follows from their pace and expected duration.
@@ -27,6 +31,47 @@
 
 } // namespace
 
+void JobTracker::noteBegun(TaskRef At, std::uint64_t Run,
+                           const std::string &Evidence,
+                           const ClockReading &Now) {
+  TaskJob &Job = *At.Job;
+  Job.task(At.Task).HasBegun = true;
+  if (Job.Begun)
+    return;
+  Job.Begun = true;
+  if (UnstoredBegun.empty())
+    UnstoredBegunSince = Now.Boot;
+  UnstoredBegun.insert(Job.id());
+  LOG4CPLUS_INFO(logOf("jobs"),
+                 LogFields("job begun")
+                     .add("job", Job.id())
+                     .add("task", toText(Job.name(At.Task)))
+                     .add("run", Run)
+                     .add("evidence", Evidence)
+                     .add("after_ms", Now.UnixMs - Job.spec().accepted_ms()));
+}
+
+void JobTracker::noteCurrentRunBegun(TaskRef At, const std::string &Evidence,
+                                     const ClockReading &Now) {
+  noteBegun(At, At.Job->task(At.Task).Run, Evidence, Now);
+  WaitingSteps.erase(stepKey(At.Job->name(At.Task)));
+}
+
+void JobTracker::noteLostRuns(const wire::TaskReport &Report,
+                              const ClockReading &Now) {
+  for (const wire::RunKey &Run : Report.lost_runs())
+    if (const auto At = Run.begun() ? findTask(Run.task()) : std::nullopt)
+      noteBegun(*At, Run.run(), "lost", Now);
+}
+
+void JobTracker::flushBegunJobs(const ClockReading &Now) {
+  if (UnstoredBegun.empty() ||
+      (Dirty.empty() && Now.Boot - UnstoredBegunSince < MaxBegunJobDelay))
+    return;
+  Dirty.insert(UnstoredBegun.begin(), UnstoredBegun.end());
+  UnstoredBegun.clear();
+}
+
 void JobTracker::moveStalledRuns(const ClockReading &Now) {
   for (auto &[Id, Job] : Jobs) {
     if (Job.EndedMs)
--- a/src/tasks/coordination/JobTrackerWaits.cpp
+++ b/src/tasks/coordination/JobTrackerWaits.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The part of JobTracker that tells why ready tasks are not placed.
+/// The part of JobTracker that tells why ready tasks do not begin.
 
 #include "base/Log.h"
 #include "base/LogFields.h"
@@ -41,7 +41,11 @@
                                  PlanInput &Input) {
   const std::string Key = stepKey(Job.name(First));
   WaitingSteps.try_emplace(Key, Now.Boot);
-  StillWaiting.insert(Key);
+  const std::size_t Tasks = Job.step(First).count();
+  StillWaiting[Key] =
+      Job.hasWaitingTask(First, Tasks) || Job.hasWithdrawnStart(First, Tasks)
+          ? WaitReason::NotReady
+          : WaitReason::NotBegun;
   if (ExplainsWaits && FirstUnit < Input.Units.size())
     Input.Units[FirstUnit].ExplainsWait =
         std::any_of(Waits.begin(), Waits.end(),
@@ -49,9 +53,15 @@
 }
 
 void JobTracker::explainWaits(const TaskPlan &Plan) {
-  // A step of which a task was placed does not wait any more.
-  for (const PlannedStart &Start : Plan.Starts)
-    StillWaiting.erase(stepKey(Jobs.at(Start.Job).name(Start.Task)));
+  // A step waits until a worker has begun one of its tasks, which may refuse
+  // all of them.
+  for (const PlannedStart &Start : Plan.Starts) {
+    const TaskJob &Job = Jobs.at(Start.Job);
+    const TaskName Name = Job.name(Start.Task);
+    if (!Job.hasWaitingTask(Job.first(Name.Occurrence, Name.Step),
+                            Job.step(Start.Task).count()))
+      StillWaiting[stepKey(Name)] = WaitReason::NotBegun;
+  }
   for (auto Step = WaitingSteps.begin(); Step != WaitingSteps.end();)
     Step = StillWaiting.count(Step->first) ? std::next(Step)
                                            : WaitingSteps.erase(Step);
@@ -60,12 +70,15 @@
                                return !StillWaiting.count(Wait.Step);
                              }),
               Waits.end());
+  for (StepWait &Wait : Waits)
+    if (StillWaiting.at(Wait.Step) == WaitReason::NotBegun)
+      Wait.Reason = WaitReason::NotBegun;
   if (!ExplainsWaits)
     return;
   for (StepWait &Wait : Waits) {
-    if (const auto Known = Plan.Waits.find(Wait.Step);
-        Known != Plan.Waits.end())
-      Wait.Reason = Known->second;
+    const auto Known = Plan.Waits.find(Wait.Step);
+    Wait.Reason =
+        Known == Plan.Waits.end() ? StillWaiting.at(Wait.Step) : Known->second;
     LOG4CPLUS_INFO(logOf("run"),
                    LogFields("step waits")
                        .add("step", Wait.Step)
--- a/src/tasks/coordination/TaskCoordinator.cpp
+++ b/src/tasks/coordination/TaskCoordinator.cpp
@@ -389,6 +389,7 @@
   Tracker.plan(Reachable, *Orders.Config, Time);
   recordWaits(Tracker, Stats);
   Tracker.flushCheckpoints(Time);
+  Tracker.flushBegunJobs(Time);
   recordEvacuations(Orders.Evacuated);
 }
 
--- a/src/tasks/coordination/TaskRunTimes.cpp
+++ b/src/tasks/coordination/TaskRunTimes.cpp
@@ -129,11 +129,8 @@
   // A member of a gang that is done stays at 100 percent until the slowest is.
   if (Task.Listed && Job.step(At).gang() && Task.Pace.percent() >= AllWorkDone)
     End = Task.Pace.changedAt();
-  std::optional<Milliseconds> Ran;
-  if (Task.Listed)
-    Ran = Task.Pace.whole(End);
-  else if (!Task.Pace.isResumed() && Task.PlacedAt != BootInstant{})
-    Ran = End - Task.PlacedAt;
+  // When a run that was never listed has begun is not known.
+  const auto Ran = Task.Listed ? Task.Pace.whole(End) : std::nullopt;
   if (!Ran || Ran->count() <= 0)
     return std::nullopt;
   return times(*Ran, 1 / remoteFactor(Job, At));
@@ -169,8 +166,9 @@
                             BootInstant Now) {
   const wire::StepSpec &Step = Job.step(At);
   if (!Settings.Learns) {
-    if (Job.task(At).Checkpoint.empty())
-      QueueMeans.add(Job.spec().queue(), Now - Job.task(At).PlacedAt);
+    const TaskState &Task = Job.task(At);
+    if (Task.Checkpoint.empty() && Task.Listed)
+      QueueMeans.add(Job.spec().queue(), Now - Task.FirstListedAt);
     return;
   }
   if (Step.long_running())
@@ -325,7 +323,8 @@
   const TaskState &Task = Job.task(At);
   const wire::StepSpec &Step = Job.step(At);
   const double Members = Step.gang() ? double(Step.count()) : 1;
-  const double RanMs = double((Now - Task.PlacedAt).count());
+  const double RanMs =
+      Task.Listed ? double((Now - Task.FirstListedAt).count()) : 0;
   if (!Settings.Learns)
     return (Step.checkpointing() ? 1 : RanMs / MsPerSecond + 0.1) * Members;
   if (Step.checkpointing()) {
--- a/src/tasks/intake/JobCatalog.cpp
+++ b/src/tasks/intake/JobCatalog.cpp
@@ -94,7 +94,8 @@
   const auto Found = Entries.find(Id);
   if (Found == Entries.end())
     return;
-  Found->second.Begun = Progress.begun();
+  // A listing may be seconds older than what is known.
+  Found->second.Begun = Found->second.Begun || Progress.begun();
   Found->second.Failed = Progress.failed();
   Found->second.Completed = Progress.completed();
 }
--- a/src/tasks/planning/TaskPlanner.h
+++ b/src/tasks/planning/TaskPlanner.h
@@ -99,7 +99,7 @@
   bool MayRunRemote = false;
   /// By how much a run there is expected to take longer.
   Milliseconds RemoteCost = Milliseconds::max();
-  /// Whether it has waited for long with no task of its job placed.
+  /// Whether it has waited for long with no task of its job at work.
   bool IsIdleForLong = false;
   /// Whether runs may be preempted for it now.
   bool MayPreempt = false;
--- a/src/tasks/planning/WaitReason.h
+++ b/src/tasks/planning/WaitReason.h
@@ -1,5 +1,5 @@
 /// \file
-/// Why tasks that are ready are not placed.
+/// Why tasks that are ready do not begin.
 
 #ifndef BAOBABCOVE_TASKS_PLANNING_WAITREASON_H
 #define BAOBABCOVE_TASKS_PLANNING_WAITREASON_H
@@ -12,9 +12,12 @@
 
 namespace baobabcove {
 
-/// What keeps a unit from being placed. Each reason but the first two and the
-/// last one means that the unit would fit without it and those before it.
+/// What keeps a unit from being placed, or a placed one from beginning. Each
+/// reason from Reserve on but the last one means that the unit would fit
+/// without it and those before it.
 enum class WaitReason {
+  /// It is placed, and its worker has not begun it.
+  NotBegun,
   /// Members of its gang are still being stopped, or it waits after a refusal.
   NotReady,
   /// No reachable worker of its service has its label and can ever hold it.
@@ -33,15 +36,16 @@
 };
 
 /// The names of all reasons, in their order.
-constexpr std::array<const char *, 8> WaitReasonNames = {
-    "not_ready",  "no_worker", "reserve",          "locality",
+constexpr std::array<const char *, 9> WaitReasonNames = {
+    "not_begun",  "not_ready", "no_worker",        "reserve",    "locality",
     "cold_limit", "isolation", "excluded_workers", "no_capacity"};
 
 inline const char *nameOf(WaitReason Reason) {
   return WaitReasonNames[static_cast<std::size_t>(Reason)];
 }
 
-/// A step of which no task was placed for a while although some are ready.
+/// A step of which no worker has begun a task for a while although some are
+/// ready.
 struct StepWait {
   /// "JOB.OCCURRENCE.STEP".
   std::string Step;
--- a/tests/tasks/TaskJobTest.cpp
+++ b/tests/tasks/TaskJobTest.cpp
@@ -139,6 +139,8 @@
   TaskJob Restored(Spec);
   Restored.restore(Job.progress());
   CHECK_TRUE(Restored.Begun);
+  CHECK_TRUE(Restored.task(3).HasBegun);
+  CHECK_FALSE(Restored.task(1).HasBegun);
   LONGS_EQUAL(wire::TASK_DONE, Restored.task(0).Phase);
   LONGS_EQUAL(4, Restored.task(3).Run);
   LONGS_EQUAL(1, Restored.task(3).Failures.count());
--- a/tests/tasks/agent/TaskAgentTest.cpp
+++ b/tests/tasks/agent/TaskAgentTest.cpp
@@ -568,6 +568,7 @@
   STRCMP_EQUAL("n1/i-1#7", last().lost_worker().c_str());
   LONGS_EQUAL(1, last().lost_runs_size());
   STRCMP_EQUAL("j.0.0.0", last().lost_runs(0).task().c_str());
+  CHECK_TRUE(last().lost_runs(0).begun());
   STRCMP_EQUAL("", last().left_worker().c_str());
   // An earlier agent may have started more.
   CHECK_FALSE(last().lost_runs_complete());
--- a/tests/tasks/coordination/LongRunningTest.cpp
+++ b/tests/tasks/coordination/LongRunningTest.cpp
@@ -352,3 +352,22 @@
   plan();
   LONGS_EQUAL(wire::TASK_PLACED, task("a", 1).Phase);
 }
+
+// Guards against a task that takes precedence as one that was down, although no
+// worker has begun it yet.
+TEST(LongRunning, IsNoRestartBeforeItsFirstRunHasBegun) {
+  addWorkers(1);
+  addServing("a", 1, 0);
+  plan();
+  wire::TaskReport Refusing = Reports.front();
+  wire::RunRefusal &Refusal = *Refusing.add_refusals();
+  Refusal.set_task("a.0.0.0");
+  Refusal.set_run(1);
+  Refusal.set_reason(wire::REFUSED_NO_ROOM);
+  Tracker.applyReport(Refusing, Now);
+  addJob("short", 1).set_estimate_ms(100);
+  advance(400);
+  plan();
+  LONGS_EQUAL(wire::TASK_PLACED, task("short").Phase);
+  LONGS_EQUAL(wire::TASK_WAITING, task("a").Phase);
+}
--- a/tests/tasks/coordination/RunForecastTest.cpp
+++ b/tests/tasks/coordination/RunForecastTest.cpp
@@ -114,6 +114,39 @@
   DOUBLES_EQUAL(3.0, make(true).secondsLostByStop(*Job, 0, at(5000)), 0.01);
 }
 
+// Guards against a run that seems to have much work to lose because its worker
+// began it long after it was placed.
+TEST(RunForecast, CountsNoWorkBeforeARunHasBegun) {
+  makeJob(1);
+  TaskState &Task = Job->task(0);
+  Task.Phase = wire::TASK_PLACED;
+  Task.PlacedAt = at(0);
+  DOUBLES_EQUAL(0.1, make(true).secondsLostByStop(*Job, 0, at(5000)), 0.01);
+  Task.Listed = true;
+  Task.FirstListedAt = at(5000);
+  for (const bool Learns : {true, false})
+    DOUBLES_EQUAL(1.1, make(Learns).secondsLostByStop(*Job, 0, at(6000)), 0.01);
+}
+
+// Guards against a duration that is learned from the time of the placement: an
+// end whose run was never listed does not tell how long it took.
+TEST(RunForecast, LearnsNothingFromARunThatWasNeverListed) {
+  makeJob(1);
+  TaskState &Task = Job->task(0);
+  Task.Worker = WorkerIncarnation("n0/w#1");
+  Task.PlacedAt = at(0);
+  TaskRunTimes Learning = make(true);
+  Learning.noteDone(*Job, 0, at(9000));
+  LONGS_EQUAL(0, Learning.model().samples());
+  TaskRunTimes Means = make(false);
+  Means.noteDone(*Job, 0, at(9000));
+  LONGS_EQUAL(4000, Means.expected(*Spec, Spec->steps(0)).count());
+  Task.Listed = true;
+  Task.FirstListedAt = at(8000);
+  Means.noteDone(*Job, 0, at(9000));
+  CHECK(Means.expected(*Spec, Spec->steps(0)) < Milliseconds(4000));
+}
+
 // Guards against a run that looks new after a takeover, although its percent
 // tells what it has done.
 TEST(RunForecast, CountsWorkFromBeforeATakeover) {
--- a/tests/tasks/coordination/TaskCoordinatorTest.cpp
+++ b/tests/tasks/coordination/TaskCoordinatorTest.cpp
@@ -173,6 +173,30 @@
   Next.stop();
 }
 
+// Guards against entries that tell their callers of a job as begun when it is
+// placed, or never: they know what is stored.
+TEST(TaskCoordinator, StoresThatAJobHasBegunOnceAWorkerRunsIt) {
+  Coordinator.stop();
+  Kv.put(keys::job(JobId("job1")), jobOf("job1")->SerializeAsString());
+  TaskCoordinator Next(Kv, {}, configuration, Stats);
+  Next.start(Role);
+  wire::TaskReport Report = reportOf("n1", 1, 0);
+  CHECK_TRUE(waitUntil([&] { return Next.attend(Report).starts_size() == 1; }));
+  const auto IsStoredAsBegun = [&] {
+    wire::TaskJobProgress Stored;
+    return Stored.ParseFromString(Kv.value(keys::progress(JobId("job1")))) &&
+           Stored.begun();
+  };
+  CHECK_FALSE(IsStoredAsBegun());
+  wire::RunStatus &Run = *Report.add_running();
+  Run.set_task("job1.0.0.0");
+  Run.set_run(1);
+  Report.set_sequence(2);
+  (void)Next.attend(Report);
+  CHECK_TRUE(waitUntil(IsStoredAsBegun));
+  Next.stop();
+}
+
 // Guards against a second run of a task that works or has ended, because its
 // unreadable progress counts as none.
 TEST(TaskCoordinator, StartsNoTaskOfAJobWhoseProgressCannotBeRead) {
--- a/tests/tasks/intake/JobCatalogTest.cpp
+++ b/tests/tasks/intake/JobCatalogTest.cpp
@@ -35,6 +35,21 @@
   LONGS_EQUAL(0, Catalog.pendingJobs("other"));
 }
 
+// Guards against a begun job that waits again, for its clients, because an
+// entry reads a list that is older than what it knows.
+TEST(JobCatalog, KeepsAJobBegun) {
+  addJob("a");
+  wire::TaskJobProgress Progress;
+  Kv.put(keys::progress(JobId("a")), Progress.SerializeAsString());
+  const StoreChanges Before = *Kv.list(keys::All);
+  Progress.set_begun(true);
+  Kv.put(keys::progress(JobId("a")), Progress.SerializeAsString());
+  Catalog.replaceAll(*Kv.list(keys::All));
+  LONGS_EQUAL(0, Catalog.pendingJobs("q"));
+  Catalog.replaceAll(Before);
+  LONGS_EQUAL(0, Catalog.pendingJobs("q"));
+}
+
 TEST(JobCatalog, SkipsRecordsThatCannotBeParsed) {
   Kv.put(keys::job(JobId("a")), "\xff\xff not a record");
   Kv.put(keys::All + "future/thing", "x");
