Refuse bad credentials where none are needed

Cause: admitCall looked the key up and, on an anonymous queue, went on without a workspace when it found none: credentials that are there and are bad counted as none.

Evidence: "call answered status=200 config=2 config_age_ms=1283", so the entries had the version without the key, followed by "step added workspace="""; neither an old configuration nor a retry of an accepted job explains that.

The fix: BearerCredentials reads the Authorization header for clients' calls and for the product's own API. Only a request without the header has no credentials; everything else needs a known key, on every queue. The scheme is read in any case: "bearer" with a valid key made a job that belongs to nobody. A repeated header no longer hides the one before it. A call without a key no longer matches an empty key of the configuration. An entry whose configuration is old still answers 503 to a key; what no configuration makes valid is refused at once.

--- a/src/http/Access.cpp
+++ b/src/http/Access.cpp
@@ -1,6 +1,7 @@
 #include "http/Access.h"
 
 #include "base/Text.h"
+#include "http/BearerCredentials.h"
 
 namespace baobabcove {
 
@@ -12,16 +13,18 @@
 
 Expected<Identity> authenticate(const HttpRequest &Request,
                                 const Configuration &CurrentConfig) {
-  static const std::string Scheme = "Bearer ";
   // No token is known before the first configuration has arrived.
   if (CurrentConfig.Operators.empty())
     return failure(ResultCode::Starting,
                    "This instance has no configuration yet.");
-  const std::string Header = Request.header("authorization");
-  if (Header.rfind(Scheme, 0) != 0 || Header.size() > MaxTokenBytes)
-    return failure(ResultCode::MissingToken,
-                   "The request carries no bearer token.");
-  const std::string Digest = sha256Hex(Header.substr(Scheme.size()));
+  const auto Token = BearerCredentials(Request.authorization()).token();
+  if (!Token)
+    return tl::unexpected<Error>(Token.error());
+  if (Token->size() > MaxTokenBytes)
+    return failure(ResultCode::WrongToken, "The token is longer than " +
+                                               std::to_string(MaxTokenBytes) +
+                                               " bytes.");
+  const std::string Digest = sha256Hex(*Token);
   Identity Found;
   // Compare every digest, so that the duration does not reveal a match.
   for (const auto &[Name, Operator] : CurrentConfig.Operators)
--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -12,6 +12,13 @@
   return Found == Headers.end() ? std::string() : Found->second;
 }
 
+std::optional<std::string> HttpRequest::authorization() const {
+  const auto Found = Headers.find("authorization");
+  if (Found == Headers.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 std::string HttpRequest::query(const std::string &Name) const {
   const auto Found = Query.find(Name);
   return Found == Query.end() ? std::string() : Found->second;
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace baobabcove {
@@ -14,7 +15,8 @@
   std::string Method;
   std::string Path;
   std::map<std::string, std::string> Query;
-  /// Header names in lower case.
+  /// Header names in lower case. The values of a repeated header are joined by
+  /// commas.
   std::map<std::string, std::string> Headers;
   std::string Body;
   /// Identifies the connection at its server; later ones have higher numbers.
@@ -23,6 +25,8 @@
   /// Returns the value of the header \p Name (in lower case), or an empty
   /// string.
   std::string header(const std::string &Name) const;
+  /// Returns the value of the Authorization header; nothing without one.
+  std::optional<std::string> authorization() const;
   /// Returns the value of a query parameter, or an empty string.
   std::string query(const std::string &Name) const;
 };
--- a/src/http/RequestReceiver.cpp
+++ b/src/http/RequestReceiver.cpp
@@ -44,8 +44,12 @@
   Request.Path = Uri.getPath();
   for (const auto &[Name, Value] : Uri.getQueryParameters())
     Request.Query[Name] = Value;
-  for (const auto &[Name, Value] : From)
-    Request.Headers[Poco::toLower(Name)] = Value;
+  for (const auto &[Name, Value] : From) {
+    const auto [Field, IsFirst] =
+        Request.Headers.try_emplace(Poco::toLower(Name), Value);
+    if (!IsFirst)
+      Field->second += ", " + Value;
+  }
   return Request;
 }
 
--- a/src/tasks/intake/CallAdmission.cpp
+++ b/src/tasks/intake/CallAdmission.cpp
@@ -4,7 +4,28 @@
 
 namespace {
 
-const std::string Scheme = "Bearer ";
+/// Returns the workspace of the key in \p Credentials.
+Expected<WorkspaceId> workspaceOf(const BearerCredentials &Credentials,
+                                  const QueueConfig &Config, Milliseconds Age,
+                                  Milliseconds MaxAge) {
+  // No configuration makes credentials valid that hold no key.
+  const auto Token = Credentials.token();
+  if (!Token && !Credentials.areAbsent())
+    return tl::unexpected<Error>(Token.error());
+  if (Age >= MaxAge)
+    return failure(ResultCode::StoreUnavailable,
+                   "API keys cannot be verified: the configuration was last "
+                   "confirmed " +
+                       std::to_string(Age.count()) + " ms ago.");
+  if (!Token)
+    return tl::unexpected<Error>(Token.error());
+  const auto Key = Config.Keys.find(*Token);
+  if (Key == Config.Keys.end())
+    return failure(ResultCode::WrongToken,
+                   "The API key is not assigned to a workspace; it may have "
+                   "been withdrawn.");
+  return Key->second;
+}
 
 } // namespace
 
@@ -12,7 +33,7 @@
                                  Milliseconds Age, Milliseconds MaxAge,
                                  const std::string &Host,
                                  const std::string &Path,
-                                 const std::string &Authorization) {
+                                 const BearerCredentials &Credentials) {
   if (!Config)
     return failure(ResultCode::Starting,
                    "No configuration has been loaded yet.");
@@ -22,20 +43,11 @@
     return failure(ResultCode::UnknownPath,
                    "No queue is configured for " + Host + Path + ".");
   Call.PathSuffix = Path.substr(Call.Queue->Prefix.size());
-  if (!Call.Queue->Anonymous || !Authorization.empty()) {
-    if (Age >= MaxAge)
-      return failure(ResultCode::StoreUnavailable,
-                     "API keys cannot be verified: the configuration was last "
-                     "confirmed " +
-                         std::to_string(Age.count()) + " ms ago.");
-    const bool HasKey = Authorization.rfind(Scheme, 0) == 0;
-    const auto Key =
-        Config->Keys.find(HasKey ? Authorization.substr(Scheme.size()) : "");
-    if (Key != Config->Keys.end())
-      Call.Workspace = Key->second;
-    else if (!Call.Queue->Anonymous)
-      return failure(HasKey ? ResultCode::WrongToken : ResultCode::MissingToken,
-                     "The API key is not assigned to a workspace.");
+  if (!Call.Queue->Anonymous || !Credentials.areAbsent()) {
+    auto Workspace = workspaceOf(Credentials, *Config, Age, MaxAge);
+    if (!Workspace)
+      return tl::unexpected<Error>(Workspace.error());
+    Call.Workspace = *Workspace;
   }
   Call.Config = std::move(Config);
   return Call;
--- a/src/tasks/intake/CallAdmission.h
+++ b/src/tasks/intake/CallAdmission.h
@@ -7,6 +7,7 @@
 #include "baobabcove/Clock.h"
 #include "baobabcove/Ids.h"
 #include "baobabcove/ResultCode.h"
+#include "http/BearerCredentials.h"
 #include "tasks/QueueConfig.h"
 
 #include <memory>
@@ -18,7 +19,7 @@
 struct AdmittedCall {
   std::shared_ptr<const QueueConfig> Config;
   const QueueRule *Queue = nullptr;
-  /// Empty for a call without an API key.
+  /// The workspace of the API key; empty for a call without one.
   WorkspaceId Workspace;
   /// The part of the path after the queue's prefix.
   std::string PathSuffix;
@@ -26,14 +27,15 @@
 
 /// Admits a call. Fails with Starting before the first configuration is loaded,
 /// with UnknownPath when no queue matches, with MissingToken or WrongToken when
-/// the API key is absent or unknown, and with StoreUnavailable when \p Age, the
-/// time since the configuration was last confirmed to be the newest, is
-/// \p MaxAge or more: the key may have been revoked in the meantime.
+/// the API key is absent, unreadable or unknown, and with StoreUnavailable when
+/// \p Age, the time since the configuration was last confirmed to be the
+/// newest, is \p MaxAge or more: the key may have been revoked in the meantime.
+/// A queue that accepts calls without a key accepts none with a bad one.
 Expected<AdmittedCall> admitCall(std::shared_ptr<const QueueConfig> Config,
                                  Milliseconds Age, Milliseconds MaxAge,
                                  const std::string &Host,
                                  const std::string &Path,
-                                 const std::string &Authorization);
+                                 const BearerCredentials &Credentials);
 
 } // namespace baobabcove
 
--- a/tests/http/AccessTest.cpp
+++ b/tests/http/AccessTest.cpp
@@ -37,6 +37,29 @@
              codeOf(authenticate(Request, CurrentConfig)));
 }
 
+// Guards against credentials that are there and count as none, for how their
+// header is written.
+TEST(Access, ReadsTheSchemeInAnyCase) {
+  Request.Headers["authorization"] = "bearer  one ";
+  STRCMP_EQUAL("shed", authenticate(Request, CurrentConfig)->Workspace.c_str());
+  Request.Headers["authorization"] = "bearer wrong";
+  CHECK_TRUE(ResultCode::WrongToken ==
+             codeOf(authenticate(Request, CurrentConfig)));
+  for (const char *Bad : {"", "Basic one", "one"}) {
+    Request.Headers["authorization"] = Bad;
+    CHECK_TRUE(ResultCode::MissingToken ==
+               codeOf(authenticate(Request, CurrentConfig)));
+  }
+}
+
+// Guards against a token that nobody has and an empty digest that matches it.
+TEST(Access, RefusesAnEmptyToken) {
+  CurrentConfig.Workspaces["shed"].TokenDigests = {sha256Hex("")};
+  token("");
+  CHECK_TRUE(ResultCode::WrongToken ==
+             codeOf(authenticate(Request, CurrentConfig)));
+}
+
 TEST(Access, FailsWithStartingBeforeTheFirstConfiguration) {
   token("one");
   CHECK_TRUE(ResultCode::Starting == codeOf(authenticate(Request, {})));
--- a/tests/http/RequestReceiverTest.cpp
+++ b/tests/http/RequestReceiverTest.cpp
@@ -48,6 +48,24 @@
   CHECK(State::InHeader == Receiver.next(Limits));
 }
 
+// Guards against bad credentials that a second header hides, and against an
+// empty header that counts as none.
+TEST(RequestReceiver, KeepsEachAuthorizationHeader) {
+  const auto AuthorizationOf = [&](const std::string &Headers) {
+    CHECK(State::Complete ==
+          Receiver.add("GET / HTTP/1.1\r\n" + Headers + "\r\n", Limits));
+    const auto Found = Receiver.take().authorization();
+    Receiver = RequestReceiver();
+    return Found;
+  };
+  CHECK_FALSE(AuthorizationOf("Host: h\r\n").has_value());
+  STRCMP_EQUAL("", AuthorizationOf("Authorization:  \r\n")->c_str());
+  STRCMP_EQUAL("Bearer k2, Bearer k1",
+               AuthorizationOf("Authorization: Bearer k2\r\n"
+                               "authorization: Bearer k1\r\n")
+                   ->c_str());
+}
+
 // Guards against bodies that are read in whole before they are refused.
 TEST(RequestReceiver, RefusesAnAnnouncedBodyBeforeItArrives) {
   checkRefused("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
--- a/tests/platform/ClientApiTest.cpp
+++ b/tests/platform/ClientApiTest.cpp
@@ -78,6 +78,26 @@
   LONGS_EQUAL(200, status("DELETE", "/q/" + JobText, "key-one"));
 }
 
+// Guards against a withdrawn key that submits, reads and cancels jobs of a
+// queue that admits calls without a key.
+TEST(ClientApi, RefusesUnknownKeysOnAnOpenQueue) {
+  LONGS_EQUAL(200, status("POST", "/open/" + JobText, ""));
+  for (const char *Method : {"GET", "POST", "DELETE"}) {
+    const HttpResponse Refused = call(Method, "/open/" + JobText, "key-three");
+    LONGS_EQUAL(401, Refused.Status);
+    STRCMP_CONTAINS("1102", Refused.Body.c_str());
+    STRCMP_CONTAINS("not run", Refused.Body.c_str());
+    CHECK(Refused.Body.find("key-three") == std::string::npos);
+  }
+  LONGS_EQUAL(401, status("GET", "/open/", "key-three"));
+  LONGS_EQUAL(200, status("GET", "/open/", ""));
+  LONGS_EQUAL(200, status("GET", "/open/" + JobText, ""));
+  // A job of a workspace: the key is refused before the job is looked at.
+  LONGS_EQUAL(200, status("POST", "/open/00000000000000ab", "key-one"));
+  LONGS_EQUAL(401, status("GET", "/open/00000000000000ab", "key-three"));
+  LONGS_EQUAL(403, status("GET", "/open/00000000000000ab", ""));
+}
+
 // The number of waiting jobs is not part of any job.
 TEST(ClientApi, TellsTheNumberOfWaitingJobsToEveryKey) {
   LONGS_EQUAL(200, status("POST", "/q/" + JobText, "key-one"));
