--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -289,7 +289,7 @@
       (void)Client.submit(Client.anyOddJob());
       Client.submitWithoutTasks();
       Client.checkAnyState();
-      for (int Question = 0; Question < QuestionsAtOnce; ++Question) {
+      for (int Asked = 0; Asked < QuestionsAtOnce; ++Asked) {
         Client.checkLatestState();
         Client.checkAnyCount();
         Keys.callWithBadCredentials();
