Share what tests of entries repeat

The clients of all entries, the text of a job id and the users' bounds on counts and withdrawn keys stood two or three times in the soak, KeyCaller and ToldJobs. No check changes.

--- a/tests/fault/TaskSoakTest.cpp
+++ b/tests/fault/TaskSoakTest.cpp
@@ -6,7 +6,6 @@
 #include "KeyCaller.h"
 #include "TaskFaults.h"
 
-#include <cinttypes>
 #include <cstdio>
 #include <iterator>
 #include <map>
@@ -44,10 +43,7 @@
 public:
   Submitter(TaskDeployment &System, unsigned Seed)
       : System(System), Random(Seed), Shapes(Seed * 10 + 8),
-        Owners(Seed * 100 + 1) {
-    for (const auto &Entry : System.Entries)
-      Clients.push_back(std::make_unique<HttpClient>(Entry->ip() + ":8080"));
-  }
+        Owners(Seed * 100 + 1), Clients(System.clients()) {}
 
   FleetJob anyJob() {
     FleetJob Job;
@@ -201,12 +197,7 @@
   std::string AcceptedWithoutTasks;
 
 private:
-  std::string nextId() {
-    char Id[17];
-    const std::uint64_t Number = FirstJob + ++Submitted;
-    std::snprintf(Id, sizeof(Id), "%016" PRIx64, Number);
-    return Id;
-  }
+  std::string nextId() { return jobIdText(FirstJob + ++Submitted); }
 
   int anyFewAttempts() {
     return FewTaskAttempts[Random.below(std::size(FewTaskAttempts))];
--- a/tests/fault/ToldJobsTest.cpp
+++ b/tests/fault/ToldJobsTest.cpp
@@ -1,11 +1,12 @@
 // What entries tell of jobs that no worker begins, and whom they tell it, in a
 // small deployment of real processes.
 
+#include "KeyCaller.h"
 #include "TaskDeployment.h"
 #include "WaitUntil.h"
 
+#include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -16,21 +17,18 @@
 namespace {
 
 constexpr std::size_t JobCount = 4;
-/// The users' bounds: accepted jobs are owed in a count after the first, and a
-/// withdrawn key runs nothing after the second.
-constexpr Milliseconds OwedAfter{5000};
-constexpr Milliseconds MaxUseAfterWithdrawal{5000};
+/// Accepted jobs are owed in a count after this.
+constexpr Milliseconds OwedAfter =
+    JobStateJudge::VisibleAfter + JobStateJudge::MaxCountAge;
 constexpr int Unauthorized = 401;
 
 } // namespace
 
 TEST_GROUP(ToldJobs) {
   TaskDeployment System{3, 2};
-  std::vector<std::unique_ptr<HttpClient>> Clients;
+  std::vector<std::unique_ptr<HttpClient>> Clients = System.clients();
 
   void setup() override {
-    for (const auto &Entry : System.Entries)
-      Clients.push_back(std::make_unique<HttpClient>(Entry->ip() + ":8080"));
     for (std::size_t Entry = 0; Entry < Clients.size(); ++Entry)
       CHECK_TRUE(
           waitUntil([&] { return status(Entry, job("POST", 0)) == 200; }));
@@ -167,7 +165,7 @@
   for (const std::string &Queue : {queuePrefix(), KeyedQueuePrefix})
     LONGS_EQUAL(200, status(0, Send("POST", Queue, "key-0")));
   System.replaceKey();
-  std::this_thread::sleep_for(MaxUseAfterWithdrawal);
+  std::this_thread::sleep_for(KeyCaller::MaxUseAfterWithdrawal);
   for (const std::string &Queue : {queuePrefix(), KeyedQueuePrefix})
     for (std::size_t Entry = 0; Entry < Clients.size(); ++Entry) {
       for (const char *Key : {"key-0", "no-key"})
--- a/tests/support/JobStateJudge.cpp
+++ b/tests/support/JobStateJudge.cpp
@@ -1,5 +1,7 @@
 #include "JobStateJudge.h"
 
+#include <algorithm>
+
 namespace baobabcove::testing {
 
 void JobStateJudge::noteSubmitted(const std::string &Id,
--- a/tests/support/KeyCaller.cpp
+++ b/tests/support/KeyCaller.cpp
@@ -1,7 +1,6 @@
 #include "KeyCaller.h"
 
-#include <cinttypes>
-#include <cstdio>
+#include <algorithm>
 #include <iterator>
 
 namespace baobabcove::testing {
@@ -19,15 +18,12 @@
                                    "Bearer\t"};
 /// Values of the header that hold no key.
 constexpr const char *WithoutKey[] = {"Bearer", "Bearer ", "",
-                                      "Basic a2VwdA==", "kept-key"};
+                                      "Basic a2VwdA==", KeptKey};
 
 } // namespace
 
 KeyCaller::KeyCaller(TaskDeployment &System, unsigned Seed)
-    : System(System), Random(Seed) {
-  for (const auto &Each : System.Entries)
-    Clients.push_back(std::make_unique<HttpClient>(Each->ip() + ":8080"));
-}
+    : System(System), Random(Seed), Clients(System.clients()) {}
 
 std::string KeyCaller::badCredentials() {
   const std::vector<std::string> Gone =
@@ -50,13 +46,12 @@
   const std::string Queue = Random.oneIn(2) ? queuePrefix() : KeyedQueuePrefix;
   if (Method == "GET" && Random.oneIn(2))
     return jobCall(Method, "", "", Queue);
-  char Id[17];
-  std::snprintf(Id, sizeof(Id), "%016" PRIx64, FirstId + Refused.size());
+  const std::string Id = jobIdText(FirstId + Refused.size());
   FleetJob Job;
   Job.Accelerators = 1;
   if (Method != "POST")
     return jobCall(Method, Id, "", Queue);
-  Refused.emplace_back(Id);
+  Refused.push_back(Id);
   return jobCall(Method, Id, Job.body(), Queue);
 }
 
--- a/tests/support/KeyCaller.h
+++ b/tests/support/KeyCaller.h
@@ -6,7 +6,6 @@
 
 #include "base/HttpClient.h"
 
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
--- a/tests/support/TaskDeployment.cpp
+++ b/tests/support/TaskDeployment.cpp
@@ -1,5 +1,7 @@
 #include "TaskDeployment.h"
 
+#include <cinttypes>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 
@@ -57,6 +59,12 @@
   return Few ? "/few-" + std::to_string(Few) + "/" : "/queue/";
 }
 
+std::string jobIdText(std::uint64_t Number) {
+  char Id[17];
+  std::snprintf(Id, sizeof(Id), "%016" PRIx64, Number);
+  return Id;
+}
+
 HttpCall jobCall(const std::string &Method, const std::string &Id,
                  const std::string &Body, const std::string &Prefix) {
   HttpCall Call;
@@ -114,6 +122,13 @@
   return Keys;
 }
 
+std::vector<std::unique_ptr<HttpClient>> TaskDeployment::clients() const {
+  std::vector<std::unique_ptr<HttpClient>> Clients;
+  for (const auto &Entry : Entries)
+    Clients.push_back(std::make_unique<HttpClient>(Entry->ip() + ":8080"));
+  return Clients;
+}
+
 bool TaskDeployment::isInTouch(std::size_t Entry, Instant Time) const {
   const Instant Since = Time - ContactTime;
   return Entries[Entry]->disturbedAt() < Since &&
--- a/tests/support/TaskDeployment.h
+++ b/tests/support/TaskDeployment.h
@@ -7,6 +7,7 @@
 
 #include "base/HttpClient.h"
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -28,6 +29,9 @@
 /// A key that every configuration holds.
 constexpr const char *KeptKey = "kept-key";
 
+/// Returns the id of a job, of 16 hexadecimal digits.
+std::string jobIdText(std::uint64_t Number);
+
 /// Returns a call of \p Method to the job \p Id in a queue of TaskDeployment.
 HttpCall jobCall(const std::string &Method, const std::string &Id,
                  const std::string &Body = "",
@@ -68,6 +72,9 @@
   /// Time. Thread-safe.
   std::vector<std::string> keysWithdrawnBefore(Instant Time) const;
 
+  /// Returns a client of each entry, whose connections stay open.
+  std::vector<std::unique_ptr<HttpClient>> clients() const;
+
   /// Whether an entry, and its way to the store, were not disturbed for the
   /// users' contact time before \p Time, nor since then.
   bool isInTouch(std::size_t Entry, Instant Time) const;
